--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,1007 @@
+// Package control decides for one server which RPCs it takes, runs and turns away.
+//
+// It is called through one entry point: New makes an instance from what is told at start, and Handle takes one
+// event with the clock and returns the actions that answer it, to be carried out in that order. The returned slice
+// is valid until the next call. The types of events, actions and start-up facts stand in api.go.
+// An instance shares nothing, reads no clock of its own, and the same events give the same actions.
+//
+// The ordinary path: the ramp lets in a rising share of callers after a cold start, the pressure loop sets the share
+// of arrivals taken, then the arrival is held if it can still be ok in time, and run when the run limit has room.
+// Everything else guards the rules: memory, crowd, tokens, calls below, due answers, drain.
+package control
+
+import (
+	"math"
+	"math/rand"
+)
+
+// period is the time between two looks at the gauges and at what falls due. Half the smallest slack of answers seen
+// fit to promise; twenty looks a second cost a server well under a thousandth of a core.
+const period = 40.0
+
+// state is where an RPC in hand stands.
+type state uint8
+
+const (
+	free     state = iota
+	held           // read, not run yet
+	running        // on a core or waiting for disk
+	paused         // stopped, keeps its progress and memory
+	standing       // waits for us to make its call
+	calling        // its call is out
+	joined         // waits for the RPC that it repeats
+)
+
+// rpc is one RPC in hand. It stays until its run is over, even when it has been answered.
+type rpc struct {
+	id       uint32
+	state    state
+	method   int
+	arrived  float64 // when it reached the machine
+	target   float64 // when the answer is wanted
+	due      float64 // when the caller gives up
+	work     float64 // hint, or 1 where there is none
+	kb       float64 // memory held now
+	heldKB   float64
+	began    float64 // start of its run
+	below    float64 // time spent at calls so far
+	stood    float64 // when it came to stand at its call
+	seq      uint64
+	long     bool
+	kept     bool // its token is remembered
+	answered bool
+	over     bool // beyond its customer's share
+	tries    int  // calls made at this stand
+}
+
+// Control is one instance.
+type Control struct {
+	node    Node
+	methods []Method
+	grace   float64
+	retry   float64 // longest advice to stay away
+	out     []Action
+	now     float64
+	slab    []rpc
+	spare   []int
+	byID    map[uint32]int
+	seq     uint64
+	wake    float64 // when the next timer should come
+
+	ramp     ramp
+	pressure pressure
+	hold     hold
+	limit    runLimit
+	keys     keys
+	calls    calls
+	memory   memory
+	drain    drain
+	signal   signal
+	pace     []pace
+	shares   []share
+	chance   *rand.Rand
+	active   int // running, not at a call
+	longRuns int // of these, long ones
+	lowest   float64
+	highest  float64
+	byWork   bool
+	tells    bool
+	longest  []float64 // per method: most time that a caller was seen to allow
+}
+
+// New makes an instance for a server that is just starting.
+func New(node Node, fleet Fleet, below Below, rules Rules, methods []Method, customers []Customer) *Control {
+	c := &Control{
+		node: node, methods: methods, grace: rules.DrainGrace, retry: fleet.MaxRetryAfter,
+		byID:     map[uint32]int{},
+		ramp:     newRamp(node.Cold, node.WarmBy, fleet.Callers, node.Seed),
+		pressure: pressure{share: 1, late: make([]float64, len(methods))},
+		limit:    newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
+		keys:     keys{kb: node.KeyKB, until: map[uint32]float64{}},
+		calls:    newCalls(below.Shared, below.Share, below.Over, below.Linger),
+		memory:   memory{room: node.MemKB},
+		signal:   signal{say: fleet.Say},
+		pace:     make([]pace, len(methods)),
+		longest:  make([]float64, len(methods)),
+		chance:   rand.New(rand.NewSource(int64(node.Seed))),
+		lowest:   math.Inf(1),
+		byWork:   fleet.ByWork, tells: fleet.TellsTime,
+	}
+	for i, m := range methods {
+		c.lowest, c.highest = math.Min(c.lowest, m.Criticality), math.Max(c.highest, m.Criticality)
+		c.pace[i] = newPace(m.LatencyTarget)
+	}
+	for _, cu := range customers {
+		c.shares = append(c.shares, newShare(cu.Quota, fleet.Peers))
+	}
+	return c
+}
+
+// Handle takes what happened and returns what is to be done.
+func (c *Control) Handle(now float64, ev Event) []Action {
+	c.out, c.now = c.out[:0], now
+	switch ev.Kind {
+	case Begin:
+		c.ramp.begin, c.limit.begin = now, now
+		c.do(Action{Do: Health, Good: true})
+		c.arm()
+	case Arrive:
+		c.arrive(&ev)
+	case Left:
+		c.left(ev.RPC)
+	case Ended:
+		c.ended(&ev)
+	case Wait:
+		if i, ok := c.byID[ev.RPC]; ok && c.slab[i].state == running {
+			c.off(i)
+			c.slab[i].state, c.slab[i].stood, c.slab[i].tries = standing, now, 0
+			c.call(i)
+		}
+	case Called:
+		c.called(&ev)
+	case Notice:
+		c.drain = drain{on: true, since: now, stop: now + ev.Time}
+		c.do(Action{Do: Health, Good: false}, Action{Do: Note, Text: "drain: notice to leave"})
+	case Timer:
+		c.tick(&ev.Gauges)
+	}
+	c.pump()
+	return c.out
+}
+
+func (c *Control) do(a ...Action) { c.out = append(c.out, a...) }
+
+func (c *Control) arm() {
+	c.wake = c.now + period
+	c.do(Action{Do: Arm, Time: c.wake})
+}
+
+// arrive decides on an RPC that has just been read.
+func (c *Control) arrive(ev *Event) {
+	m := min(ev.Method, len(c.methods)-1)
+	meth := &c.methods[m]
+	r := rpc{id: ev.RPC, state: held, method: m, arrived: c.now - ev.Waited, work: 1, heldKB: ev.HeldKB, kb: ev.HeldKB}
+	if ev.Hint > 0 {
+		r.work = ev.Hint
+	}
+	r.due = r.arrived + meth.Deadline
+	age := 0.0
+	if c.tells {
+		r.due = c.now + ev.Time
+		// A later try gets what its client has left: less time than callers otherwise allow tells its age.
+		told := ev.Time + ev.Waited
+		c.longest[m] = math.Max(c.longest[m], told)
+		if told < c.longest[m]-50 {
+			age = math.Max(0, meth.Deadline-told)
+		}
+	} else if ev.Retry {
+		age = meth.LatencyTarget / 4 // nothing tells; a quarter lies between a prompt and a patient caller
+	}
+	stretch := 0.0
+	if ev.Hint > 0 {
+		stretch = meth.Stretch * ev.Hint
+	}
+	r.target = math.Min(r.arrived+meth.LatencyTarget+stretch-age, r.due)
+	over := false
+	if ev.Customer < len(c.shares) {
+		over = c.shares[ev.Customer].over(c.now, ev.Retry)
+	}
+	r.over = over
+	i := c.add(r)
+	late := c.drain.on && r.arrived > c.drain.since+c.grace-c.node.Tick
+
+	// A repeat of a remembered RPC is joined: it must neither run again nor, once any try has run, be pushed back.
+	// An original never seen here (two tries of one batch name each other) is no reason to join: the first is taken.
+	if ev.Original != 0 && c.known(ev.Original, meth) {
+		if late {
+			c.abort(i)
+			return
+		}
+		c.slab[i].state = joined
+		c.do(Action{Do: Join, RPC: ev.RPC})
+		return
+	}
+	c.signal.seen++
+	if late {
+		c.push(i, c.retry)
+		return
+	}
+	if !c.ramp.takes(c.now, ev.Caller, ev.Subject, ev.RPC) {
+		c.push(i, math.Min(rampRetry, c.retry))
+		return
+	}
+	if !c.pressure.takes(c.chance, c.value(&r), c.highest) {
+		c.signal.shed++
+		c.push(i, c.away())
+		return
+	}
+	if !c.feasible(&c.slab[i]) || !c.room(&c.slab[i]) {
+		c.signal.shed++
+		c.push(i, c.away())
+		return
+	}
+	if meth.Repeat == Tokened {
+		// Remembered before it runs, for the whole window counted from its arrival here.
+		life := math.Max(meth.Window-ev.Waited, c.node.Tick)
+		c.keys.add(ev.RPC, c.now+life, c.now+life+meth.Deadline)
+		c.slab[i].kept = true
+		c.do(Action{Do: Remember, RPC: ev.RPC, Time: life})
+	}
+	c.slab[i].long = c.est(&r) > longFactor*c.usual()
+	c.hold.add(c.slab, i)
+}
+
+// rampRetry is the advice that goes with a refusal of the ramp: short, as the caller should ask others at once.
+const rampRetry = 100.0
+
+// longFactor parts the two lines: work of more than this multiple of the usual is long. Half of all lognormal work
+// lies below the mean, a twentieth above three times it.
+const longFactor = 3.0
+
+// usual is the run time of the usual RPC: the mean over the methods by what has run.
+func (c *Control) usual() float64 {
+	t, n := 0.0, 0.0
+	for i := range c.pace {
+		t, n = t+c.pace[i].spent+c.pace[i].prior, n+c.pace[i].runs+1
+	}
+	return t / n
+}
+
+// known tells whether the original of a repeat is in hand or has been remembered and not dropped unrun.
+func (c *Control) known(id uint32, m *Method) bool {
+	if i, ok := c.byID[id]; ok {
+		return m.Repeat != Tokened || c.slab[i].kept || c.slab[i].state != held
+	}
+	return c.keys.knows(id)
+}
+
+// value is the criticality that an RPC counts for.
+func (c *Control) value(r *rpc) float64 {
+	v := c.methods[r.method].Criticality
+	if r.over {
+		v *= 0.1
+	}
+	return v
+}
+
+// patience is the part of the time before the latency target that an RPC may wait in the hold. The more critical
+// may wait longer, so in overload the hold stands at the limit of the least critical and the others still get in.
+func (c *Control) patience(r *rpc) float64 {
+	const (
+		overShare = 0.1 // beyond its customer's share: only when the hold is as good as empty
+		least     = 0.4 // leaves more than half for what the estimate does not know
+		most      = 0.75
+	)
+	if r.over {
+		return overShare
+	}
+	if c.highest == c.lowest {
+		return most
+	}
+	return least + (most-least)*(c.methods[r.method].Criticality-c.lowest)/(c.highest-c.lowest)
+}
+
+// est is the expected run time of an RPC without its calls.
+func (c *Control) est(r *rpc) float64 { return c.pace[r.method].run(r.work) }
+
+// wait is the expected time in the hold of an RPC that would come last before target.
+func (c *Control) wait(target float64, long bool) float64 {
+	ahead := 0.0
+	for i := range c.slab {
+		r := &c.slab[i]
+		switch r.state {
+		case running:
+			e := c.est(r)
+			ahead += math.Max(e-(c.now-r.began), e/4)
+		case held:
+			if r.target <= target {
+				ahead += c.est(r)
+			}
+		}
+	}
+	n := float64(c.limit.runs())
+	if float64(c.active) < n && c.hold.n == 0 {
+		return 0
+	}
+	return ahead / n
+}
+
+// feasible tells whether an RPC just read can be ok in time, with the patience that its criticality gives it.
+func (c *Control) feasible(r *rpc) bool {
+	p := &c.pace[r.method]
+	left := r.target - c.now - c.est(r) - p.below
+	if c.drain.on {
+		left = math.Min(left, c.drain.stop-c.now-c.est(r)-p.below-2*period)
+	}
+	w := c.wait(r.target, false)
+	if w == 0 {
+		return left > 0
+	}
+	return w < left*c.patience(r)
+}
+
+// away is the advice that goes with an overload's pushback: until the hold has drained.
+func (c *Control) away() float64 {
+	return math.Min(c.retry, math.Max(c.wait(math.Inf(1), false), rampRetry))
+}
+
+// room tells whether memory allows to hold an RPC, with its token.
+func (c *Control) room(r *rpc) bool {
+	need := r.heldKB
+	if c.methods[r.method].Repeat == Tokened {
+		need += c.keys.kb
+	}
+	return c.memory.used+c.keys.used()+need-r.heldKB < holdShare*c.memory.room
+}
+
+// add puts an RPC into the slab.
+func (c *Control) add(r rpc) int {
+	c.seq++
+	r.seq = c.seq
+	var i int
+	if n := len(c.spare); n > 0 {
+		i, c.spare = c.spare[n-1], c.spare[:n-1]
+		c.slab[i] = r
+	} else {
+		i = len(c.slab)
+		c.slab = append(c.slab, r)
+	}
+	c.byID[r.id] = i
+	c.memory.used += r.kb
+	return i
+}
+
+// drop takes an RPC out of the slab.
+func (c *Control) drop(i int) {
+	r := &c.slab[i]
+	switch r.state {
+	case held:
+		c.hold.remove(i, r.long)
+	case running:
+		c.off(i)
+	}
+	c.memory.used -= r.kb
+	delete(c.byID, r.id)
+	r.state = free
+	c.spare = append(c.spare, i)
+}
+
+// off books a run as no longer on the cores.
+func (c *Control) off(i int) {
+	c.active--
+	if c.slab[i].long {
+		c.longRuns--
+	}
+}
+
+// on books a run as on the cores.
+func (c *Control) on(i int) {
+	r := &c.slab[i]
+	c.active++
+	if r.long {
+		c.longRuns++
+	}
+	r.state = running
+}
+
+// push pushes a held RPC back; it never ran.
+func (c *Control) push(i int, away float64) {
+	r := &c.slab[i]
+	if r.kept {
+		c.keys.forget(r.id)
+		c.do(Action{Do: Forget, RPC: r.id})
+	}
+	c.do(Action{Do: PushBack, RPC: r.id, Time: away})
+	c.drop(i)
+}
+
+// abort answers an RPC with an error. Running work that can be stopped is stopped, unless it has an effect, which
+// a repeat may still ask for.
+func (c *Control) abort(i int) {
+	r := &c.slab[i]
+	if !r.answered {
+		c.do(Action{Do: Abort, RPC: r.id})
+	}
+	r.answered = true
+	switch r.state {
+	case running:
+		if c.node.Stop != StopNone && c.methods[r.method].Repeat == Idempotent {
+			c.do(Action{Do: Halt, RPC: r.id})
+		}
+	case standing, calling:
+		if r.state == calling {
+			c.calls.abandon(c.now)
+		}
+		r.state = standing // its end is told
+	default:
+		c.drop(i)
+	}
+}
+
+// left hears that a caller no longer waits.
+func (c *Control) left(id uint32) {
+	i, ok := c.byID[id]
+	if !ok {
+		return
+	}
+	r := &c.slab[i]
+	r.answered = true
+	switch r.state {
+	case running:
+		c.abort(i)
+	case standing, calling:
+		c.abort(i)
+	default:
+		if r.kept && r.state == held {
+			c.keys.forget(id)
+			c.do(Action{Do: Forget, RPC: id})
+		}
+		c.drop(i)
+	}
+}
+
+// ended books the end of a run or join.
+func (c *Control) ended(ev *Event) {
+	i, ok := c.byID[ev.RPC]
+	if !ok {
+		return
+	}
+	r := &c.slab[i]
+	if r.state == calling {
+		c.calls.abandon(c.now)
+	}
+	if ev.Outcome == OK && r.state == running {
+		spent := ev.Spent - r.below
+		c.pace[r.method].learn(spent, r.work, r.below)
+		c.pressure.learn(r.method, c.now-r.arrived, c.methods[r.method].LatencyTarget)
+	}
+	c.drop(i)
+}
+
+// call makes, puts off or goes without the call that an RPC stands at.
+func (c *Control) call(i int) {
+	r := &c.slab[i]
+	if r.answered || r.state != standing {
+		return
+	}
+	m := &c.methods[r.method]
+	left := c.end(r) - c.now - c.est(r)/3 // what its run still needs after the call is not told
+	usual := c.calls.usual
+	if m.SkipShare > 0 && (left < usual || r.tries >= 2) {
+		c.do(Action{Do: Skip, RPC: r.id})
+		r.below += c.now - r.stood
+		c.on(i)
+		return
+	}
+	if left <= 0 || r.tries >= 3 {
+		c.abort(i)
+		return
+	}
+	if r.tries > 0 && m.Repeat != Idempotent && !r.kept {
+		c.abort(i)
+		return
+	}
+	if !c.calls.take(c.now) {
+		return
+	}
+	if m.SkipShare > 0 {
+		left *= 0.7 // leaves time to go on without it
+	}
+	r.tries++
+	r.state = calling
+	c.do(Action{Do: Call, RPC: r.id, Time: left})
+}
+
+// end is the last moment at which an answer to a running RPC is of use.
+func (c *Control) end(r *rpc) float64 {
+	if c.methods[r.method].LateShare > 0 || c.now > r.target {
+		return r.due
+	}
+	return r.target
+}
+
+// called hears the end of a call.
+func (c *Control) called(ev *Event) {
+	i, ok := c.byID[ev.RPC]
+	if !ok || c.slab[i].state != calling {
+		return
+	}
+	r := &c.slab[i]
+	if ev.Outcome == OK {
+		c.calls.done(ev.Spent)
+		r.below += c.now - r.stood
+		c.on(i)
+	} else {
+		if ev.Outcome == TimedOut || ev.Outcome == Reset {
+			c.calls.abandon(c.now)
+		} else {
+			c.calls.done(0)
+		}
+		r.state = standing
+		// An effect below is not asked for again unless the call before is known not to have run.
+		if c.methods[r.method].Repeat != Idempotent && ev.Outcome != Full && ev.Outcome != Unreachable {
+			c.abort(i)
+			return
+		}
+		c.call(i)
+	}
+	c.standing()
+}
+
+// standing makes the calls that had to wait.
+func (c *Control) standing() {
+	for i := range c.slab {
+		if c.slab[i].state == standing {
+			c.call(i)
+		}
+	}
+}
+
+// tick looks at the gauges and at all that falls due.
+func (c *Control) tick(g *Gauges) {
+	if gap := c.now - c.wake; gap > 3*period {
+		// A stall ran the clock without traffic: the ramp's does not count it.
+		c.ramp.begin += gap
+	}
+	c.keys.expire(c.now)
+	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
+	if c.pressure.step(c.now, g.CoreUse) {
+		text := "pressure: share of arrivals cut"
+		if c.pressure.share == 1 {
+			text = "pressure: all arrivals taken again"
+		}
+		c.do(Action{Do: Note, Text: text})
+	}
+	if v, say := c.signal.step(c.now); say {
+		c.do(Action{Do: Tell, Value: v})
+	}
+	for i := range c.slab {
+		if c.slab[i].state != free {
+			c.review(i)
+		}
+	}
+	c.arm()
+}
+
+// review answers an RPC that is due or can no longer be ok in time.
+func (c *Control) review(i int) {
+	r := &c.slab[i]
+	if r.answered {
+		return
+	}
+	due := r.due - period
+	if c.drain.on {
+		due = math.Min(due, c.drain.stop-2*period)
+	}
+	m := &c.methods[r.method]
+	switch {
+	case r.state == held:
+		last := r.target
+		if m.LateShare > 0 {
+			last = r.due
+		}
+		if c.now >= due || c.now+c.est(r)+c.pace[r.method].below > last {
+			c.push(i, c.away())
+		}
+	case c.now >= due:
+		c.abort(i)
+	case c.now > r.target && m.LateShare == 0 && m.Repeat == Idempotent && c.node.Stop != StopNone:
+		c.abort(i) // no answer counts any more, and the core is wanted
+	case r.state == standing:
+		c.call(i)
+	}
+}
+
+// pump runs what the run limit and the memory have room for.
+func (c *Control) pump() {
+	for c.active < c.limit.runs() {
+		i := c.hold.next(c.slab, c.longRuns, c.limit.runs())
+		if i < 0 {
+			return
+		}
+		r := &c.slab[i]
+		more := r.heldKB * (c.node.RunFactor - 1)
+		if c.memory.used+more+c.keys.used() > runShare*c.memory.room {
+			return
+		}
+		if c.now+c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
+			c.push(i, c.away())
+			continue
+		}
+		c.hold.remove(i, r.long)
+		c.memory.used += more
+		r.kb += more
+		r.began = c.now
+		c.on(i)
+		c.do(Action{Do: Run, RPC: r.id})
+	}
+}
+
+// ramp is the rising share of callers that a cold server takes.
+type ramp struct {
+	warm   bool
+	begin  float64
+	length float64
+	parts  uint64 // few callers are split in so many parts each
+	salt   uint64
+	most   float64
+}
+
+// finest is the number of shares that the ramp wants at least: steps of a twentieth of the traffic at most.
+const finest = 20
+
+func newRamp(cold bool, warmBy float64, callers int, salt uint64) ramp {
+	return ramp{warm: !cold, length: warmBy, parts: uint64((finest + callers - 1) / callers), salt: salt}
+}
+
+// takes tells whether the ramp lets a caller in. The share never falls, so a caller once in stays in.
+// Where callers are few, each is split by subject: a hashed share of three callers is no share of the traffic.
+func (p *ramp) takes(now float64, caller uint16, subject uint64, id uint32) bool {
+	if p.warm {
+		return true
+	}
+	percent := math.Floor((now-p.begin)/1000) * 1000 / p.length * 100
+	p.most = math.Max(p.most, percent)
+	if p.most >= 100 {
+		p.warm = true
+		return true
+	}
+	h := mix(uint64(caller) ^ p.salt)
+	if p.parts > 1 {
+		if subject == 0 {
+			subject = uint64(id)
+		}
+		h = mix(h + mix(subject)%p.parts)
+	}
+	return float64(h%100) <= p.most
+}
+
+// mix is the finalizer of splitmix64. The instance's own salt goes in, so that successors started together do not
+// all shut out the same callers.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// pressure is the loop that sets the share of arrivals taken.
+type pressure struct {
+	share float64
+	late  []float64 // per method: latency of runs over the part of the latency target they may take
+	next  float64
+}
+
+// aimPart is the part of the latency target that the latency of runs is held to: the rest is for the way and for
+// the spread about the mean.
+const aimPart = 0.7
+
+func (p *pressure) learn(m int, latency, target float64) {
+	const weight = 0.1 // about ten runs of memory, some seconds of one method's traffic
+	p.late[m] += weight * (latency/(aimPart*target) - p.late[m])
+}
+
+// step moves the share ten times a second or less, and tells whether a cut began or ended.
+func (p *pressure) step(now, busy float64) bool {
+	const (
+		pace = 200.0 // twice in the half second that the gauge covers
+		cut  = 0.95  // halves the share in under three seconds
+		rise = 0.02  // from a half to all in five
+	)
+	if now < p.next {
+		return false
+	}
+	p.next = now + pace
+	before := p.share
+	late := false
+	for _, l := range p.late {
+		late = late || l > 1
+	}
+	if late && busy > 0.9 {
+		p.share = math.Max(0.1, p.share*cut)
+	} else {
+		p.share = math.Min(1, p.share+rise)
+	}
+	return (before == 1) != (p.share == 1)
+}
+
+// takes draws whether an arrival is taken; the share lost is lost by the least valuable first.
+func (p *pressure) takes(chance *rand.Rand, value, highest float64) bool {
+	if p.share == 1 {
+		return true
+	}
+	return chance.Float64() < math.Pow(p.share, highest/value)
+}
+
+// hold keeps the RPCs that wait, in two lines by the time their answers are wanted.
+type hold struct {
+	line [2][]int
+	n    int
+}
+
+func which(long bool) int {
+	if long {
+		return 1
+	}
+	return 0
+}
+
+func (h *hold) add(slab []rpc, i int) {
+	l := &h.line[which(slab[i].long)]
+	*l = append(*l, i)
+	h.n++
+	for k := len(*l) - 1; k > 0 && slab[(*l)[k]].target < slab[(*l)[k-1]].target; k-- {
+		(*l)[k], (*l)[k-1] = (*l)[k-1], (*l)[k]
+	}
+}
+
+func (h *hold) remove(i int, long bool) {
+	l := &h.line[which(long)]
+	for k, j := range *l {
+		if j == i {
+			*l = append((*l)[:k], (*l)[k+1:]...)
+			h.n--
+			return
+		}
+	}
+}
+
+// next is the RPC to run next, or -1. Long work gets at most half of the runs while short work waits.
+func (h *hold) next(slab []rpc, longRuns, runs int) int {
+	short, long := h.line[0], h.line[1]
+	switch {
+	case len(long) == 0 && len(short) == 0:
+		return -1
+	case len(long) == 0:
+		return short[0]
+	case len(short) == 0:
+		return long[0]
+	case 2*longRuns >= runs || slab[short[0]].target <= slab[long[0]].target:
+		return short[0]
+	}
+	return long[0]
+}
+
+// runLimit is how many RPCs run at once, calls not counted: just enough to keep the cores busy.
+type runLimit struct {
+	cores   float64
+	begin   float64
+	cold    bool
+	start   float64
+	warmBy  float64
+	ceiling float64
+	onCore  float64 // share of the runs that want a core, the others wait for disk
+	now     float64
+}
+
+func newRunLimit(cores int, cold bool, start, warmBy, ceiling float64) runLimit {
+	return runLimit{cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1}
+}
+
+func (l *runLimit) step(now, onCores, use float64, active, waiting int) {
+	const weight = 0.02 // two seconds of memory at the usual period
+	l.now = now
+	if active > 0 && float64(active) >= l.cores/2 {
+		f := math.Min(1, onCores/float64(active))
+		l.onCore += weight * (f - l.onCore)
+	}
+}
+
+// runs is the limit. The crowd that kills is told; it is kept to well under that, the less while cold.
+func (l *runLimit) runs() int {
+	const (
+		busy = 1.1 // runs on the cores for each core, when others wait for disk: a core seldom idles
+		safe = 0.6 // part of the crowd that kills, for what comes back from disk at once
+		most = 4.0 // runs for each core, however much they seem to wait
+	)
+	speed := 1.0
+	if l.cold {
+		speed = math.Min(1, l.start+(1-l.start)*(l.now-l.begin)/l.warmBy)
+	}
+	per := math.Min(1, safe*(1+(l.ceiling-1)*speed))
+	if l.onCore < 0.95 {
+		per *= math.Min(most, busy/l.onCore)
+	}
+	return int(math.Max(1, math.Round(per*l.cores)))
+}
+
+// pace learns how long the runs of a method take for each unit of expected work.
+type pace struct {
+	spent float64
+	work  float64
+	runs  float64
+	below float64 // mean time at calls
+	prior float64
+}
+
+func newPace(target float64) pace { return pace{prior: target / 6} }
+
+func (p *pace) learn(spent, work, below float64) {
+	const keep = 0.95 // twenty runs of memory: a second or two of traffic, so that a change of speed is seen
+	p.spent, p.work, p.runs = p.spent*keep+spent, p.work*keep+work, p.runs*keep+1
+	p.below += (1 - keep) * (below - p.below)
+}
+
+func (p *pace) run(work float64) float64 {
+	if p.runs < 1 {
+		return p.prior
+	}
+	return work * p.spent / p.work
+}
+
+// share counts a customer's RPCs against this server's part of its quota.
+type share struct {
+	rate  float64 // RPCs a millisecond within the share
+	left  float64
+	last  float64
+	burst float64
+}
+
+func newShare(quota float64, peers int) share {
+	const seconds = 3 // unevenness between servers that is no fault of the customer's
+	rate := quota / float64(peers)
+	return share{rate: rate / 1000, burst: seconds * rate, left: seconds * rate}
+}
+
+func (s *share) over(now float64, again bool) bool {
+	if s.rate == 0 {
+		return false
+	}
+	s.left = math.Min(s.burst, s.left+(now-s.last)*s.rate)
+	s.last = now
+	if s.left < 1 {
+		return true
+	}
+	if !again {
+		s.left--
+	}
+	return false
+}
+
+// keys are the tokens remembered here.
+type keys struct {
+	kb    float64
+	list  []key
+	until map[uint32]float64
+	live  int
+}
+
+type key struct {
+	id    uint32
+	until float64 // the server's table drops it then
+	known float64 // a repeat read late may still name it until then
+	gone  bool
+}
+
+func (k *keys) add(id uint32, until, known float64) {
+	k.list = append(k.list, key{id: id, until: until, known: known})
+	k.until[id] = known
+	k.live++
+}
+
+func (k *keys) forget(id uint32) {
+	for i := range k.list {
+		if e := &k.list[i]; e.id == id && !e.gone {
+			e.gone = true
+			k.live--
+		}
+	}
+	delete(k.until, id)
+}
+
+func (k *keys) knows(id uint32) bool { _, ok := k.until[id]; return ok }
+
+func (k *keys) expire(now float64) {
+	n := 0
+	for _, e := range k.list {
+		if !e.gone && e.until < now {
+			e.gone = true
+			k.live--
+		}
+		if e.known < now || e.gone && !k.knows(e.id) {
+			delete(k.until, e.id)
+			continue
+		}
+		k.list[n] = e
+		n++
+	}
+	k.list = k.list[:n]
+}
+
+func (k *keys) used() float64 { return float64(k.live) * k.kb }
+
+// calls are the calls in hand below. Only a shared dependency limits them.
+type calls struct {
+	shared bool
+	most   float64
+	linger float64
+	inHand int
+	ghosts []float64 // until when abandoned calls stay there
+	usual  float64   // time that a call takes
+}
+
+func newCalls(shared bool, share, over, linger float64) calls {
+	return calls{shared: shared, most: math.Max(1, math.Floor(share)), linger: linger}
+}
+
+// take books a call if there is room for it.
+func (k *calls) take(now float64) bool {
+	n := 0
+	for _, t := range k.ghosts {
+		if t > now {
+			k.ghosts[n] = t
+			n++
+		}
+	}
+	k.ghosts = k.ghosts[:n]
+	if k.shared && float64(k.inHand+n) >= k.most {
+		return false
+	}
+	k.inHand++
+	return true
+}
+
+func (k *calls) done(spent float64) {
+	k.inHand--
+	if spent > 0 {
+		k.usual += 0.1 * (spent - k.usual)
+	}
+}
+
+func (k *calls) abandon(now float64) {
+	k.inHand--
+	k.ghosts = append(k.ghosts, now+k.linger)
+}
+
+// memory is what RPCs in hand take.
+type memory struct {
+	room float64
+	used float64
+}
+
+const (
+	holdShare = 0.8  // of the memory, for holding one more: what is held must still be able to run
+	runShare  = 0.95 // of the memory, for running one more: the rest is for reads nobody can turn away unread
+)
+
+// drain is the time to leave.
+type drain struct {
+	on    bool
+	since float64
+	stop  float64
+}
+
+// signal is the value that goes out with answers.
+type signal struct {
+	say   Say
+	seen  int
+	shed  int
+	level float64
+	told  float64
+	next  float64
+}
+
+// step moves the level so that what this server would push back for overload is not sent at all.
+func (s *signal) step(now float64) (float64, bool) {
+	const (
+		pace  = 250.0
+		gain  = 0.1  // with a tenth pushed back the level rises by a hundredth a step
+		allow = 0.03 // pushed back without a rise: the level settles a little short of what would idle cores
+		most  = 0.9
+	)
+	if s.say != SayLevel || now < s.next {
+		return 0, false
+	}
+	s.next = now + pace
+	part := 0.0
+	if s.seen > 0 {
+		part = float64(s.shed) / float64(s.seen)
+	}
+	s.seen, s.shed = 0, 0
+	s.level = math.Min(most, math.Max(0, s.level+gain*(part-allow)))
+	if math.Abs(s.level-s.told) < 0.01 {
+		return 0, false
+	}
+	s.told = s.level
+	return s.level, true
+}
--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,178 @@
+package simwire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"io"
+	"strings"
+	"testing"
+
+	"sorrelvalve/control"
+)
+
+func unhex(t testing.TB, s string) []byte {
+	b, err := hex.DecodeString(strings.Join(strings.Fields(s), ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// readAll reads every event of every frame in b.
+func readAll(b []byte) (evs []Event, err error) {
+	r := NewReader(bytes.NewReader(b))
+	for {
+		if _, err := r.Batch(); err == io.EOF {
+			return evs, nil
+		} else if err != nil {
+			return evs, err
+		}
+		for {
+			ev, more, err := r.Next()
+			if err != nil {
+				return evs, err
+			}
+			if !more {
+				break
+			}
+			evs = append(evs, ev)
+		}
+	}
+}
+
+const ask = "1e 00000039 0003 5d3a91c4 0000 0000 91f03b7c55d20a64 000000000e4e1c00 0000000000b71b00 41c40000" +
+	"3f200000 01 0011 00000000001c3a90 0e6f2b19"
+
+func TestRead(t *testing.T) {
+	cases := []struct {
+		name, frame, bad string
+		want             []control.Event
+	}{
+		{name: "empty batch", frame: "00000000 00000001f568bf90 00000000"},
+		{
+			name: "the page's example",
+			frame: "00000069 00000001f568bf90 00000003" + ask +
+				"14 0000001b 0003 000000000000004d 04 3f1eb852404000003ed1eb8542f00000" +
+				"5a 00000006 0005 0e6f2b19",
+			want: []control.Event{
+				{
+					Kind: control.Arrive, RPC: 0x5d3a91c4, Subject: 0x91f03b7c55d20a64, Time: 240, Hint: 12,
+					HeldKB: 24.5, Rank: 0.625, Caller: 17, Waited: 1.85, Original: 0x0e6f2b19,
+				},
+				{Kind: control.Timer, Label: 77},
+				{Kind: control.Left, RPC: 0x0e6f2b19},
+			},
+		},
+		{
+			name:  "fields left out are zero",
+			frame: "0000000d 0000000000000000 00000001 32 00000008 0003 5d3a91c4 01 00",
+			bad:   "field of 8 bytes expected, 1 there",
+		},
+		{
+			name:  "absent at the end",
+			frame: "0000000b 0000000000000000 00000001 32 00000006 0003 5d3a91c4",
+			want:  []control.Event{{Kind: control.Ended, RPC: 0x5d3a91c4, Outcome: control.Error}},
+		},
+		{name: "header cut off", frame: "00000000 00", bad: "frame 1: header of 16 bytes cut off after 5"},
+		{name: "body cut off", frame: "ffffffff 0000000000000000 00000001 32", bad: "4294967295 bytes announced, 1 there"},
+		{name: "record overruns", frame: "00000006 0000000000000000 00000001 5a 00000009 00", bad: "record of 9 bytes"},
+		{name: "no record", frame: "00000000 0000000000000000 00000001", bad: "record header of 5 bytes expected"},
+		{name: "left over", frame: "00000001 0000000000000000 00000000 00", bad: "1 bytes after the last record"},
+		{name: "unknown code", frame: "00000007 0000000000000000 00000001 63 00000002 0003", bad: "an event code expected, 99"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			evs, err := readAll(unhex(t, c.frame))
+			if c.bad != "" {
+				if err == nil || !strings.Contains(err.Error(), c.bad) {
+					t.Fatalf("error %v, want %q", err, c.bad)
+				}
+				return
+			}
+			if err != nil || len(evs) != len(c.want) {
+				t.Fatalf("%d events, error %v", len(evs), err)
+			}
+			for i := range evs {
+				if evs[i].Event != c.want[i] {
+					t.Errorf("got %+v\nwant %+v", evs[i].Event, c.want[i])
+				}
+			}
+		})
+	}
+}
+
+func TestReply(t *testing.T) {
+	var p Reply
+	var out bytes.Buffer
+	if _, err := p.WriteTo(&out); err != nil || !bytes.Equal(out.Bytes(), make([]byte, 8)) {
+		t.Fatalf("empty reply is % x, error %v", out.Bytes(), err)
+	}
+	out.Reset()
+	p.Add(3, []control.Action{{Do: control.Run, RPC: 0x5d3a91c4}, {Do: control.Arm, Time: 0x213362490 / 1e6, Label: 77}})
+	p.Add(5, []control.Action{{Do: control.Note, Text: "two servers known"}})
+	p.Add(3, []control.Action{{Do: control.PushBack, RPC: 0x0e6f2b19, Last: true, Time: 250}})
+	p.Add(3, []control.Action{{Do: control.Tell, Value: 0.25}})
+	if _, err := p.WriteTo(&out); err != nil {
+		t.Fatal(err)
+	}
+	want := unhex(t, "0000005b 00000005 0a 00000006 0003 5d3a91c4"+
+		"82 00000012 0003 0000000213362490 000000000000004d"+
+		"8c 00000015 0005 0011 74776f2073657276657273206b6e6f776e"+
+		"14 0000000f 0003 0e6f2b19 01 000000000ee6b280 6e 00000006 0003 3e800000")
+	if !bytes.Equal(out.Bytes(), want) {
+		t.Errorf("got  %x\nwant %x", out.Bytes(), want)
+	}
+}
+
+const settings = "classes.count=1\nclasses.0.aim=1800000000\nclasses.0.give_up=4500000000\n" +
+	"classes.0.idempotency=idempotency_key\nclasses.0.window=5000000000\nfamily_info.halt=suspend\n" +
+	"family_info.class_calls=true\nfamily_info.cores=6\nnew.path=1\n"
+
+func TestParseOpening(t *testing.T) {
+	cases := []struct{ name, text, bad string }{
+		{"sound", settings, ""},
+		{"no path", "cores", "settings line 1: path=value expected"},
+		{"not a number", settings + "family_info.cores=six\n", "settings family_info.cores: a number"},
+		{"false length", settings + "customers.count=1000000000\n", "settings customers.count: at most"},
+		{"no methods", "tick=1\n", "settings classes.count"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o, err := ParseOpening(c.text)
+			if c.bad != "" {
+				if err == nil || !strings.Contains(err.Error(), c.bad) {
+					t.Fatalf("error %v, want %q", err, c.bad)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			m := o.Methods[0]
+			if m.LatencyTarget != 1800 || m.Deadline != 4500 || m.Repeat != control.Tokened || m.Window != 5000 ||
+				!m.Calls || o.Node.Cores != 6 || o.Node.Stop != control.StopPause || o.Fleet.Peers != 1 {
+				t.Errorf("got %+v", o)
+			}
+		})
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(unhex(f, "00000000 00000001f568bf90 00000000"))
+	f.Add(unhex(f, "0000003e 00000001f568bf90 00000001"+ask))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if evs, err := readAll(b); err == nil && len(evs) > len(b)/5 {
+			t.Errorf("%d events out of %d bytes", len(evs), len(b))
+		}
+	})
+}
+
+func FuzzParseOpening(f *testing.F) {
+	f.Add(settings)
+	f.Add("classes.count=2\nfamily_info.worth_without=0.3,x")
+	f.Fuzz(func(t *testing.T, text string) {
+		if o, err := ParseOpening(text); err == nil && len(o.Methods) == 0 {
+			t.Error("no method and no error")
+		}
+	})
+}
