Take an RPC's time left as its time left, not as a sign of its age

A time-out of a call below looked like a client's old try, so the second tier pushed nearly all back.

--- a/control/control.go
+++ b/control/control.go
@@ -86,7 +86,6 @@
 	highest  float64
 	byWork   bool
 	tells    bool
-	longest  []float64 // per method: most time that a caller was seen to allow
 }
 
 // New makes an instance for a server that is just starting.
@@ -102,7 +101,6 @@
 		memory:   memory{room: node.MemKB},
 		signal:   signal{say: fleet.Say},
 		pace:     make([]pace, len(methods)),
-		longest:  make([]float64, len(methods)),
 		chance:   rand.New(rand.NewSource(int64(node.Seed))),
 		lowest:   math.Inf(1),
 		byWork:   fleet.ByWork, tells: fleet.TellsTime,
@@ -168,12 +166,6 @@
 	age := 0.0
 	if c.tells {
 		r.due = c.now + ev.Time
-		// A later try gets what its client has left: less time than callers otherwise allow tells its age.
-		told := ev.Time + ev.Waited
-		c.longest[m] = math.Max(c.longest[m], told)
-		if told < c.longest[m]-50 {
-			age = math.Max(0, meth.Deadline-told)
-		}
 	} else if ev.Retry {
 		age = meth.LatencyTarget / 4 // nothing tells; a quarter lies between a prompt and a patient caller
 	}
