Let an RPC's wait in the hold go by the rank of its value

A hard in-or-over mark of each RPC dropped critical ones of customers over their share; the fleet's own count can't be known here, so a customer's RPCs now weigh by the part of its traffic inside the share.

--- a/control/control.go
+++ b/control/control.go
@@ -50,8 +50,9 @@
 	long     bool
 	kept     bool // its token is remembered
 	answered bool
-	over     bool // beyond its customer's share
-	tries    int  // calls made at this stand
+	value    float64 // criticality that it counts for
+	rank     float64 // where that stands among late arrivals, 0 to 1
+	tries    int     // calls made at this stand
 }
 
 // Control is one instance.
@@ -68,45 +69,42 @@
 	seq     uint64
 	wake    float64 // when the next timer should come
 
-	ramp     ramp
-	pressure pressure
-	hold     hold
-	limit    runLimit
-	keys     keys
-	calls    calls
-	memory   memory
-	drain    drain
-	signal   signal
-	pace     []pace
-	shares   []share
-	chance   *rand.Rand
-	active   int // running, not at a call
-	longRuns int // of these, long ones
-	lowest   float64
-	highest  float64
-	byWork   bool
-	tells    bool
+	ramp      ramp
+	pressure  pressure
+	hold      hold
+	limit     runLimit
+	keys      keys
+	calls     calls
+	memory    memory
+	drain     drain
+	signal    signal
+	pace      []pace
+	shares    []share
+	chance    *rand.Rand
+	active    int // running, not at a call
+	longRuns  int // of these, long ones
+	ranks     ranks
+	overShare float64
+	tells     bool
 }
 
 // New makes an instance for a server that is just starting.
 func New(node Node, fleet Fleet, below Below, rules Rules, methods []Method, customers []Customer) *Control {
 	c := &Control{
 		node: node, methods: methods, grace: rules.DrainGrace, retry: fleet.MaxRetryAfter,
-		byID:     map[uint32]int{},
-		ramp:     newRamp(node.Cold, node.WarmBy, fleet.Callers, node.Seed),
-		pressure: pressure{share: 1, late: make([]float64, len(methods))},
-		limit:    newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
-		keys:     keys{kb: node.KeyKB, until: map[uint32]float64{}},
-		calls:    newCalls(below.Shared, below.Share, below.Over, below.Linger),
-		memory:   memory{room: node.MemKB},
-		signal:   signal{say: fleet.Say},
-		pace:     make([]pace, len(methods)),
-		chance:   rand.New(rand.NewSource(int64(node.Seed))),
-		lowest:   math.Inf(1),
-		byWork:   fleet.ByWork, tells: fleet.TellsTime,
+		byID:      map[uint32]int{},
+		ramp:      newRamp(node.Cold, node.WarmBy, fleet.Callers, node.Seed),
+		pressure:  pressure{share: 1, late: make([]float64, len(methods))},
+		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
+		keys:      keys{kb: node.KeyKB, until: map[uint32]float64{}},
+		calls:     newCalls(below.Shared, below.Share, below.Over, below.Linger),
+		memory:    memory{room: node.MemKB},
+		signal:    signal{say: fleet.Say},
+		pace:      make([]pace, len(methods)),
+		chance:    rand.New(rand.NewSource(int64(node.Seed))),
+		overShare: fleet.OverShare, tells: fleet.TellsTime,
 	}
 	for i, m := range methods {
-		c.lowest, c.highest = math.Min(c.lowest, m.Criticality), math.Max(c.highest, m.Criticality)
 		c.pace[i] = newPace(m.LatencyTarget)
 	}
 	for _, cu := range customers {
@@ -174,11 +172,12 @@
 		stretch = meth.Stretch * ev.Hint
 	}
 	r.target = math.Min(r.arrived+meth.LatencyTarget+stretch-age, r.due)
-	over := false
+	r.value = meth.Criticality
 	if ev.Customer < len(c.shares) {
-		over = c.shares[ev.Customer].over(c.now, ev.Retry)
+		in := c.shares[ev.Customer].within(c.now, ev.Retry)
+		r.value *= in + (1-in)*c.overShare
 	}
-	r.over = over
+	r.rank = c.ranks.of(r.value)
 	i := c.add(r)
 	late := c.drain.on && r.arrived > c.drain.since+c.grace-c.node.Tick
 
@@ -202,7 +201,7 @@
 		c.push(i, math.Min(rampRetry, c.retry))
 		return
 	}
-	if !c.pressure.takes(c.chance, c.value(&r), c.highest) {
+	if !c.pressure.takes(c.chance, r.rank) {
 		c.signal.shed++
 		c.push(i, c.away())
 		return
@@ -247,30 +246,14 @@
 	return c.keys.knows(id)
 }
 
-// value is the criticality that an RPC counts for.
-func (c *Control) value(r *rpc) float64 {
-	v := c.methods[r.method].Criticality
-	if r.over {
-		v *= 0.1
-	}
-	return v
-}
-
-// patience is the part of the time before the latency target that an RPC may wait in the hold. The more critical
-// may wait longer, so in overload the hold stands at the limit of the least critical and the others still get in.
-func (c *Control) patience(r *rpc) float64 {
+// patience is the part of the time before the latency target that an RPC may wait in the hold. What counts for more
+// may wait longer, so in overload the hold stands where the least of it is pushed back, at once, and the rest gets in.
+func patience(rank float64) float64 {
 	const (
-		overShare = 0.1 // beyond its customer's share: only when the hold is as good as empty
-		least     = 0.4 // leaves more than half for what the estimate does not know
-		most      = 0.75
+		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
+		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
-	if r.over {
-		return overShare
-	}
-	if c.highest == c.lowest {
-		return most
-	}
-	return least + (most-least)*(c.methods[r.method].Criticality-c.lowest)/(c.highest-c.lowest)
+	return least + (most-least)*rank
 }
 
 // est is the expected run time of an RPC without its calls.
@@ -309,7 +292,7 @@
 	if w == 0 {
 		return left > 0
 	}
-	return w < left*c.patience(r)
+	return w < left*patience(r.rank)
 }
 
 // away is the advice that goes with an overload's pushback: until the hold has drained.
@@ -697,12 +680,32 @@
 	return (before == 1) != (p.share == 1)
 }
 
-// takes draws whether an arrival is taken; the share lost is lost by the least valuable first.
-func (p *pressure) takes(chance *rand.Rand, value, highest float64) bool {
-	if p.share == 1 {
-		return true
+// takes tells whether an arrival is taken: the share cut is the lowest in rank, with a soft edge drawn by chance.
+func (p *pressure) takes(chance *rand.Rand, rank float64) bool {
+	const edge = 0.2 // equal values share a rank: without it they would all go at once
+	return p.share == 1 || rank+edge*(chance.Float64()-0.5) >= 1-p.share
+}
+
+// ranks are the values of the latest arrivals.
+type ranks struct {
+	value [64]float64 // some seconds of traffic
+	n     int
+}
+
+// of adds a value and returns the part of the others that lie below it, equals counting half.
+func (k *ranks) of(v float64) float64 {
+	k.value[k.n%len(k.value)] = v
+	k.n++
+	all := k.value[:min(k.n, len(k.value))]
+	below := 0.0
+	for _, o := range all {
+		if o < v {
+			below++
+		} else if o == v {
+			below += 0.5
+		}
 	}
-	return chance.Float64() < math.Pow(p.share, highest/value)
+	return below / float64(len(all))
 }
 
 // hold keeps the RPCs that wait, in two lines by the time their answers are wanted.
@@ -821,33 +824,33 @@
 	return work * p.spent / p.work
 }
 
-// share counts a customer's RPCs against this server's part of its quota.
+// share measures how much of a customer's traffic lies within this server's part of its quota.
 type share struct {
 	rate  float64 // RPCs a millisecond within the share
-	left  float64
+	count float64 // first tries of late, older ones weighing less
+	first float64
 	last  float64
-	burst float64
 }
 
 func newShare(quota float64, peers int) share {
-	const seconds = 3 // unevenness between servers that is no fault of the customer's
-	rate := quota / float64(peers)
-	return share{rate: rate / 1000, burst: seconds * rate, left: seconds * rate}
+	return share{rate: quota / float64(peers) / 1000, first: -1}
 }
 
-func (s *share) over(now float64, again bool) bool {
+// within counts an RPC and returns the part of such RPCs that lies within the share.
+func (s *share) within(now float64, again bool) float64 {
+	const memory = 4000.0 // long enough to count some tens of RPCs, short enough to see a burst
 	if s.rate == 0 {
-		return false
+		return 1
 	}
-	s.left = math.Min(s.burst, s.left+(now-s.last)*s.rate)
-	s.last = now
-	if s.left < 1 {
-		return true
+	if s.first < 0 {
+		s.first = now - 1000 // the first second is too short to tell a rate
 	}
+	s.count *= math.Exp((s.last - now) / memory)
+	s.last = now
 	if !again {
-		s.left--
+		s.count++
 	}
-	return false
+	return math.Min(1, s.rate*memory*(1-math.Exp((s.first-now)/memory))/s.count)
 }
 
 // keys are the tokens remembered here.
