--- a/control/control.go
+++ b/control/control.go
@@ -84,6 +84,7 @@
 	active    int // running, not at a call
 	longRuns  int // of these, long ones
 	ranks     ranks
+	tightest  float64 // the tightest latency target
 	overShare float64
 	tells     bool
 }
@@ -106,6 +107,9 @@
 	}
 	for i, m := range methods {
 		c.pace[i] = newPace(m.LatencyTarget)
+		if i == 0 || m.LatencyTarget < c.tightest {
+			c.tightest = m.LatencyTarget
+		}
 	}
 	for _, cu := range customers {
 		c.shares = append(c.shares, newShare(cu.Quota, fleet.Peers))
@@ -178,6 +182,7 @@
 		r.value *= in + (1-in)*c.overShare
 	}
 	r.rank = c.ranks.of(r.value)
+	c.limit.read(ev.Waited / c.tightest)
 	i := c.add(r)
 	late := c.drain.on && r.arrived > c.drain.since+c.grace-c.node.Tick
 
@@ -766,6 +771,8 @@
 	warmBy  float64
 	ceiling float64
 	onCore  float64 // share of the runs that want a core, the others wait for disk
+	other   float64 // what else wants the cores: reads, checks, new connections
+	unread  float64 // wait of arrivals before they were read, in parts of the tightest latency target
 	now     float64
 }
 
@@ -773,9 +780,12 @@
 	return runLimit{cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1}
 }
 
+func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) } // about ten arrivals of memory
+
 func (l *runLimit) step(now, onCores, use float64, active, waiting int) {
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
+	l.other += 4 * weight * (math.Max(0, onCores-float64(active)) - l.other)
 	if active > 0 && float64(active) >= l.cores/2 {
 		f := math.Min(1, onCores/float64(active))
 		l.onCore += weight * (f - l.onCore)
@@ -785,9 +795,10 @@
 // runs is the limit. The crowd that kills is told; it is kept to well under that, the less while cold.
 func (l *runLimit) runs() int {
 	const (
-		busy = 1.1 // runs on the cores for each core, when others wait for disk: a core seldom idles
-		safe = 0.6 // part of the crowd that kills, for what comes back from disk at once
-		most = 4.0 // runs for each core, however much they seem to wait
+		busy = 1.1  // runs on the cores for each core, when others wait for disk: a core seldom idles
+		safe = 0.6  // part of the crowd that kills, for what comes back from disk at once
+		most = 4.0  // runs for each core, however much they seem to wait
+		few  = 0.05 // of the tightest latency target: waits unread up to this are no flood
 	)
 	speed := 1.0
 	if l.cold {
@@ -797,7 +808,10 @@
 	if l.onCore < 0.95 {
 		per *= math.Min(most, busy/l.onCore)
 	}
-	return int(math.Max(1, math.Round(per*l.cores)))
+	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread waits for
+	// seconds and is too old when it is read.
+	n := per*l.cores - l.other*math.Min(1, math.Max(0, l.unread/few-1))
+	return int(math.Max(math.Ceil(l.cores/3), math.Round(n)))
 }
 
 // pace learns how long the runs of a method take for each unit of expected work.
