--- a/control/control.go
+++ b/control/control.go
@@ -795,10 +795,10 @@
 // runs is the limit. The crowd that kills is told; it is kept to well under that, the less while cold.
 func (l *runLimit) runs() int {
 	const (
-		busy = 1.1  // runs on the cores for each core, when others wait for disk: a core seldom idles
-		safe = 0.6  // part of the crowd that kills, for what comes back from disk at once
-		most = 4.0  // runs for each core, however much they seem to wait
-		few  = 0.05 // of the tightest latency target: waits unread up to this are no flood
+		busy = 1.1 // runs on the cores for each core, when others wait for disk: a core seldom idles
+		safe = 0.6 // part of the crowd that kills, for what comes back from disk at once
+		most = 4.0 // runs for each core, however much they seem to wait
+		few  = 0.1 // of the tightest latency target: waits unread up to this are no flood
 	)
 	speed := 1.0
 	if l.cold {
@@ -810,7 +810,7 @@
 	}
 	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread waits for
 	// seconds and is too old when it is read.
-	n := per*l.cores - l.other*math.Min(1, math.Max(0, l.unread/few-1))
+	n := per*l.cores - 0.7*l.other*math.Min(1, math.Max(0, l.unread/few-1))
 	return int(math.Max(math.Ceil(l.cores/3), math.Round(n)))
 }
 
@@ -994,8 +994,8 @@
 func (s *signal) step(now float64) (float64, bool) {
 	const (
 		pace  = 250.0
-		gain  = 0.1  // with a tenth pushed back the level rises by a hundredth a step
-		allow = 0.03 // pushed back without a rise: the level settles a little short of what would idle cores
+		gain  = 0.1 // with a tenth pushed back the level rises by a hundredth a step
+		allow = 0.1 // pushed back without a rise: what stands lower makes the level fall again in some seconds
 		most  = 0.9
 	)
 	if s.say != SayLevel || now < s.next {
