Ask a marked further try that meets overload here too not to go on

Each of its reads costs one more server. It could harm where one slow server stands among idle ones and a try comes to two slow ones in a row; the ramp's refusals never ask for it.

--- a/control/control.go
+++ b/control/control.go
@@ -49,6 +49,7 @@
 	seq      uint64
 	long     bool
 	kept     bool // its token is remembered
+	again    bool // marked as a further try
 	answered bool
 	value    float64 // criticality that it counts for
 	rank     float64 // where that stands among late arrivals, 0 to 1
@@ -182,6 +183,7 @@
 		r.value *= in + (1-in)*c.overShare
 	}
 	r.rank = c.ranks.of(r.value)
+	r.again = ev.Retry
 	c.limit.read(ev.Waited / c.tightest)
 	i := c.add(r)
 	late := c.drain.on && r.arrived > c.drain.since+c.grace-c.node.Tick
@@ -199,21 +201,21 @@
 	}
 	c.signal.seen++
 	if late {
-		c.push(i, c.retry)
+		c.push(i, c.retry, false)
 		return
 	}
 	if !c.ramp.takes(c.now, ev.Caller, ev.Subject, ev.RPC) {
-		c.push(i, math.Min(rampRetry, c.retry))
+		c.push(i, math.Min(rampRetry, c.retry), false)
 		return
 	}
 	if !c.pressure.takes(c.chance, r.rank) {
 		c.signal.shed++
-		c.push(i, c.away())
+		c.shed(i)
 		return
 	}
 	if !c.feasible(&c.slab[i]) || !c.room(&c.slab[i]) {
 		c.signal.shed++
-		c.push(i, c.away())
+		c.shed(i)
 		return
 	}
 	if meth.Repeat == Tokened {
@@ -364,14 +366,20 @@
 	r.state = running
 }
 
+// shed pushes an RPC back for overload. A marked further try has met another full server before this one: its caller
+// is asked not to go on, or each read of it costs one more server.
+func (c *Control) shed(i int) {
+	c.push(i, c.away(), c.slab[i].again)
+}
+
 // push pushes a held RPC back; it never ran.
-func (c *Control) push(i int, away float64) {
+func (c *Control) push(i int, away float64, last bool) {
 	r := &c.slab[i]
 	if r.kept {
 		c.keys.forget(r.id)
 		c.do(Action{Do: Forget, RPC: r.id})
 	}
-	c.do(Action{Do: PushBack, RPC: r.id, Time: away})
+	c.do(Action{Do: PushBack, RPC: r.id, Last: last, Time: away})
 	c.drop(i)
 }
 
@@ -561,7 +569,7 @@
 			last = r.due
 		}
 		if c.now >= due || c.now+c.est(r)+c.pace[r.method].below > last {
-			c.push(i, c.away())
+			c.shed(i)
 		}
 	case c.now >= due:
 		c.abort(i)
@@ -585,7 +593,7 @@
 			return
 		}
 		if c.now+c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
-			c.push(i, c.away())
+			c.shed(i)
 			continue
 		}
 		c.hold.remove(i, r.long)
