--- a/control/control.go
+++ b/control/control.go
@@ -288,6 +288,10 @@
 	return ahead / n
 }
 
+// doubt is the part of its expected run time by which one RPC's own is trusted to be no shorter: hints are rough, and
+// a run that has a core to itself costs little if it comes late. Heavy work counts most where work is counted.
+const doubt = 0.5
+
 // feasible tells whether an RPC just read can be ok in time, with the patience that its criticality gives it.
 func (c *Control) feasible(r *rpc) bool {
 	p := &c.pace[r.method]
@@ -297,7 +301,7 @@
 	}
 	w := c.wait(r.target, false)
 	if w == 0 {
-		return left > 0
+		return left+(1-doubt)*c.est(r) > 0
 	}
 	return w < left*patience(r.rank)
 }
@@ -568,7 +572,7 @@
 		if m.LateShare > 0 {
 			last = r.due
 		}
-		if c.now >= due || c.now+c.est(r)+c.pace[r.method].below > last {
+		if c.now >= due || c.now+doubt*c.est(r)+c.pace[r.method].below > last {
 			c.shed(i)
 		}
 	case c.now >= due:
@@ -592,7 +596,7 @@
 		if c.memory.used+more+c.keys.used() > runShare*c.memory.room {
 			return
 		}
-		if c.now+c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
+		if c.now+doubt*c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
 			c.shed(i)
 			continue
 		}
@@ -803,7 +807,7 @@
 // runs is the limit. The crowd that kills is told; it is kept to well under that, the less while cold.
 func (l *runLimit) runs() int {
 	const (
-		busy = 1.1 // runs on the cores for each core, when others wait for disk: a core seldom idles
+		busy = 1.3 // runs on the cores for each core, when others wait for disk: a core seldom idles
 		safe = 0.6 // part of the crowd that kills, for what comes back from disk at once
 		most = 4.0 // runs for each core, however much they seem to wait
 		few  = 0.1 // of the tightest latency target: waits unread up to this are no flood
