--- a/control/control.go
+++ b/control/control.go
@@ -101,7 +101,7 @@
 		keys:      keys{kb: node.KeyKB, until: map[uint32]float64{}},
 		calls:     newCalls(below.Shared, below.Share, below.Over, below.Linger),
 		memory:    memory{room: node.MemKB},
-		signal:    signal{say: fleet.Say},
+		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
 		pace:      make([]pace, len(methods)),
 		chance:    rand.New(rand.NewSource(int64(node.Seed))),
 		overShare: fleet.OverShare, tells: fleet.TellsTime,
@@ -306,6 +306,11 @@
 	return w < left*patience(r.rank)
 }
 
+// places is how many RPCs the server can have in hand and still answer in time.
+func (c *Control) places() float64 {
+	return float64(c.limit.runs()) * (1 + c.tightest/2/c.usual())
+}
+
 // away is the advice that goes with an overload's pushback: until the hold has drained.
 func (c *Control) away() float64 {
 	return math.Min(c.retry, math.Max(c.wait(math.Inf(1), false), rampRetry))
@@ -544,7 +549,7 @@
 		}
 		c.do(Action{Do: Note, Text: text})
 	}
-	if v, say := c.signal.step(c.now); say {
+	if v, say := c.signal.step(c.now, c.places()); say {
 		c.do(Action{Do: Tell, Value: v})
 	}
 	for i := range c.slab {
@@ -994,25 +999,37 @@
 
 // signal is the value that goes out with answers.
 type signal struct {
-	say   Say
-	seen  int
-	shed  int
-	level float64
-	told  float64
-	next  float64
-}
-
-// step moves the level so that what this server would push back for overload is not sent at all.
-func (s *signal) step(now float64) (float64, bool) {
+	say     Say
+	callers float64
+	seen    int
+	shed    int
+	level   float64
+	told    float64
+	next    float64
+}
+
+// step moves the level so that what this server would push back for overload is not sent at all; a window is what
+// it can hold in time, over its callers.
+func (s *signal) step(now, inTime float64) (float64, bool) {
 	const (
 		pace  = 250.0
-		gain  = 0.1 // with a tenth pushed back the level rises by a hundredth a step
+		gain  = 0.1 // with a tenth more pushed back than allowed the level rises by a hundredth a step
 		allow = 0.1 // pushed back without a rise: what stands lower makes the level fall again in some seconds
 		most  = 0.9
+		each  = 2.0 // windows for each place: callers are seldom equal and seldom all at their windows
 	)
-	if s.say != SayLevel || now < s.next {
+	if now < s.next || s.say == SayNone || s.say == SayShare {
 		return 0, false
 	}
+	if s.say == SayWindow {
+		s.next = now + pace
+		v := math.Max(1, math.Round(each*inTime/s.callers))
+		if math.Abs(v-s.told) < 0.2*s.told {
+			return 0, false
+		}
+		s.told = v
+		return v, true
+	}
 	s.next = now + pace
 	part := 0.0
 	if s.seen > 0 {
