--- a/control/control.go
+++ b/control/control.go
@@ -46,7 +46,6 @@
 	began    float64 // start of its run
 	below    float64 // time spent at calls so far
 	stood    float64 // when it came to stand at its call
-	seq      uint64
 	long     bool
 	kept     bool // its token is remembered
 	again    bool // marked as a further try
@@ -67,8 +66,8 @@
 	slab    []rpc
 	spare   []int
 	byID    map[uint32]int
-	seq     uint64
 	wake    float64 // when the next timer should come
+	used    float64 // memory of the RPCs in hand
 
 	ramp      ramp
 	pressure  pressure
@@ -76,7 +75,6 @@
 	limit     runLimit
 	keys      keys
 	calls     calls
-	memory    memory
 	drain     drain
 	signal    signal
 	pace      []pace
@@ -99,8 +97,7 @@
 		pressure:  pressure{share: 1, late: make([]float64, len(methods))},
 		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
 		keys:      keys{kb: node.KeyKB, until: map[uint32]float64{}},
-		calls:     newCalls(below.Shared, below.Share, below.Over, below.Linger),
-		memory:    memory{room: node.MemKB},
+		calls:     newCalls(below.Shared, below.Share, below.Linger),
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
 		pace:      make([]pace, len(methods)),
 		chance:    rand.New(rand.NewSource(int64(node.Seed))),
@@ -191,7 +188,7 @@
 	// A repeat of a remembered RPC is joined: it must neither run again nor, once any try has run, be pushed back.
 	// An original never seen here (two tries of one batch name each other) is no reason to join: the first is taken.
 	if ev.Original != 0 && c.known(ev.Original, meth) {
-		if late {
+		if late || !c.room(&r) {
 			c.abort(i)
 			return
 		}
@@ -208,12 +205,7 @@
 		c.push(i, math.Min(rampRetry, c.retry), false)
 		return
 	}
-	if !c.pressure.takes(c.chance, r.rank) {
-		c.signal.shed++
-		c.shed(i)
-		return
-	}
-	if !c.feasible(&c.slab[i]) || !c.room(&c.slab[i]) {
+	if !c.pressure.takes(c.chance, r.rank) || !c.feasible(&r) || !c.room(&r) {
 		c.signal.shed++
 		c.shed(i)
 		return
@@ -267,7 +259,7 @@
 func (c *Control) est(r *rpc) float64 { return c.pace[r.method].run(r.work) }
 
 // wait is the expected time in the hold of an RPC that would come last before target.
-func (c *Control) wait(target float64, long bool) float64 {
+func (c *Control) wait(target float64) float64 {
 	ahead := 0.0
 	for i := range c.slab {
 		r := &c.slab[i]
@@ -299,7 +291,7 @@
 	if c.drain.on {
 		left = math.Min(left, c.drain.stop-c.now-c.est(r)-p.below-2*period)
 	}
-	w := c.wait(r.target, false)
+	w := c.wait(r.target)
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
@@ -313,32 +305,30 @@
 
 // away is the advice that goes with an overload's pushback: until the hold has drained.
 func (c *Control) away() float64 {
-	return math.Min(c.retry, math.Max(c.wait(math.Inf(1), false), rampRetry))
+	return math.Min(c.retry, math.Max(c.wait(math.Inf(1)), rampRetry))
 }
 
-// room tells whether memory allows to hold an RPC, with its token.
+// room tells whether memory allows to hold an RPC just read, with its token. What is held must still be able to run.
 func (c *Control) room(r *rpc) bool {
-	need := r.heldKB
+	const share = 0.8
+	token := 0.0
 	if c.methods[r.method].Repeat == Tokened {
-		need += c.keys.kb
+		token = c.keys.kb
 	}
-	return c.memory.used+c.keys.used()+need-r.heldKB < holdShare*c.memory.room
+	return c.used+c.keys.used()+token < share*c.node.MemKB
 }
 
 // add puts an RPC into the slab.
 func (c *Control) add(r rpc) int {
-	c.seq++
-	r.seq = c.seq
-	var i int
-	if n := len(c.spare); n > 0 {
-		i, c.spare = c.spare[n-1], c.spare[:n-1]
-		c.slab[i] = r
-	} else {
-		i = len(c.slab)
-		c.slab = append(c.slab, r)
+	if len(c.spare) == 0 {
+		c.slab = append(c.slab, rpc{})
+		c.spare = append(c.spare, len(c.slab)-1)
 	}
+	n := len(c.spare) - 1
+	i := c.spare[n]
+	c.spare, c.slab[i] = c.spare[:n], r
 	c.byID[r.id] = i
-	c.memory.used += r.kb
+	c.used += r.kb
 	return i
 }
 
@@ -351,7 +341,7 @@
 	case running:
 		c.off(i)
 	}
-	c.memory.used -= r.kb
+	c.used -= r.kb
 	delete(c.byID, r.id)
 	r.state = free
 	c.spare = append(c.spare, i)
@@ -407,7 +397,7 @@
 		}
 	case standing, calling:
 		if r.state == calling {
-			c.calls.abandon(c.now)
+			c.calls.abandon(c.now, c.now-r.stood)
 		}
 		r.state = standing // its end is told
 	default:
@@ -424,9 +414,7 @@
 	r := &c.slab[i]
 	r.answered = true
 	switch r.state {
-	case running:
-		c.abort(i)
-	case standing, calling:
+	case running, standing, calling:
 		c.abort(i)
 	default:
 		if r.kept && r.state == held {
@@ -445,7 +433,7 @@
 	}
 	r := &c.slab[i]
 	if r.state == calling {
-		c.calls.abandon(c.now)
+		c.calls.abandon(c.now, c.now-r.stood)
 	}
 	if ev.Outcome == OK && r.state == running {
 		spent := ev.Spent - r.below
@@ -462,9 +450,11 @@
 		return
 	}
 	m := &c.methods[r.method]
-	left := c.end(r) - c.now - c.est(r)/3 // what its run still needs after the call is not told
-	usual := c.calls.usual
-	if m.SkipShare > 0 && (left < usual || r.tries >= 2) {
+	left := r.target - c.now - c.est(r)/3 // what its run still needs after the call is not told
+	if m.LateShare > 0 || c.now > r.target {
+		left += r.due - r.target
+	}
+	if m.SkipShare > 0 && (left < c.calls.usual || r.tries >= 2) {
 		c.do(Action{Do: Skip, RPC: r.id})
 		r.below += c.now - r.stood
 		c.on(i)
@@ -474,10 +464,6 @@
 		c.abort(i)
 		return
 	}
-	if r.tries > 0 && m.Repeat != Idempotent && !r.kept {
-		c.abort(i)
-		return
-	}
 	if !c.calls.take(c.now) {
 		return
 	}
@@ -489,14 +475,6 @@
 	c.do(Action{Do: Call, RPC: r.id, Time: left})
 }
 
-// end is the last moment at which an answer to a running RPC is of use.
-func (c *Control) end(r *rpc) float64 {
-	if c.methods[r.method].LateShare > 0 || c.now > r.target {
-		return r.due
-	}
-	return r.target
-}
-
 // called hears the end of a call.
 func (c *Control) called(ev *Event) {
 	i, ok := c.byID[ev.RPC]
@@ -505,14 +483,14 @@
 	}
 	r := &c.slab[i]
 	if ev.Outcome == OK {
-		c.calls.done(ev.Spent)
+		c.calls.done(c.now, ev.Spent, true)
 		r.below += c.now - r.stood
 		c.on(i)
 	} else {
 		if ev.Outcome == TimedOut || ev.Outcome == Reset {
-			c.calls.abandon(c.now)
+			c.calls.abandon(c.now, ev.Spent)
 		} else {
-			c.calls.done(0)
+			c.calls.done(c.now, ev.Spent, false)
 		}
 		r.state = standing
 		// An effect below is not asked for again unless the call before is known not to have run.
@@ -541,7 +519,7 @@
 		c.ramp.begin += gap
 	}
 	c.keys.expire(c.now)
-	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
+	c.limit.step(c.now, g.OnCores, c.active)
 	if c.pressure.step(c.now, g.CoreUse) {
 		text := "pressure: share of arrivals cut"
 		if c.pressure.share == 1 {
@@ -591,6 +569,7 @@
 
 // pump runs what the run limit and the memory have room for.
 func (c *Control) pump() {
+	const share = 0.95 // of the memory; the rest is for reads that nobody can turn away unread
 	for c.active < c.limit.runs() {
 		i := c.hold.next(c.slab, c.longRuns, c.limit.runs())
 		if i < 0 {
@@ -598,7 +577,7 @@
 		}
 		r := &c.slab[i]
 		more := r.heldKB * (c.node.RunFactor - 1)
-		if c.memory.used+more+c.keys.used() > runShare*c.memory.room {
+		if c.used+more+c.keys.used() > share*c.node.MemKB {
 			return
 		}
 		if c.now+doubt*c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
@@ -606,7 +585,7 @@
 			continue
 		}
 		c.hold.remove(i, r.long)
-		c.memory.used += more
+		c.used += more
 		r.kb += more
 		r.began = c.now
 		c.on(i)
@@ -736,15 +715,15 @@
 	n    int
 }
 
-func which(long bool) int {
+func (h *hold) of(long bool) *[]int {
 	if long {
-		return 1
+		return &h.line[1]
 	}
-	return 0
+	return &h.line[0]
 }
 
 func (h *hold) add(slab []rpc, i int) {
-	l := &h.line[which(slab[i].long)]
+	l := h.of(slab[i].long)
 	*l = append(*l, i)
 	h.n++
 	for k := len(*l) - 1; k > 0 && slab[(*l)[k]].target < slab[(*l)[k-1]].target; k-- {
@@ -753,7 +732,7 @@
 }
 
 func (h *hold) remove(i int, long bool) {
-	l := &h.line[which(long)]
+	l := h.of(long)
 	for k, j := range *l {
 		if j == i {
 			*l = append((*l)[:k], (*l)[k+1:]...)
@@ -799,7 +778,7 @@
 
 func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) } // about ten arrivals of memory
 
-func (l *runLimit) step(now, onCores, use float64, active, waiting int) {
+func (l *runLimit) step(now, onCores float64, active int) {
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
 	l.other += 4 * weight * (math.Max(0, onCores-float64(active)) - l.other)
@@ -936,18 +915,22 @@
 
 func (k *keys) used() float64 { return float64(k.live) * k.kb }
 
-// calls are the calls in hand below. Only a shared dependency limits them.
+// calls are the calls in hand below. A shared dependency limits them to this node's share at every moment, so that the
+// mean is kept whatever the others do.
 type calls struct {
-	shared bool
-	most   float64
+	share  float64 // 0 where nothing is shared
 	linger float64
 	inHand int
 	ghosts []float64 // until when abandoned calls stay there
 	usual  float64   // time that a call takes
+	rest   float64   // a share under one call is kept by a pause after each
 }
 
-func newCalls(shared bool, share, over, linger float64) calls {
-	return calls{shared: shared, most: math.Max(1, math.Floor(share)), linger: linger}
+func newCalls(shared bool, share, linger float64) calls {
+	if !shared {
+		share = 0
+	}
+	return calls{share: share, linger: linger}
 }
 
 // take books a call if there is room for it.
@@ -960,36 +943,30 @@
 		}
 	}
 	k.ghosts = k.ghosts[:n]
-	if k.shared && float64(k.inHand+n) >= k.most {
+	if k.share > 0 && (float64(k.inHand+n) >= math.Max(1, math.Floor(k.share)) || now < k.rest) {
 		return false
 	}
 	k.inHand++
 	return true
 }
 
-func (k *calls) done(spent float64) {
+// done books the end of a call that took spent.
+func (k *calls) done(now, spent float64, ok bool) {
 	k.inHand--
-	if spent > 0 {
-		k.usual += 0.1 * (spent - k.usual)
+	if k.share > 0 && k.share < 1 {
+		k.rest = now + spent*(1/k.share-1)
+	}
+	if ok {
+		k.usual += 0.1 * (spent - k.usual) // ten calls of memory
 	}
 }
 
-func (k *calls) abandon(now float64) {
-	k.inHand--
+// abandon books a call given up, which stays in hand below for a while.
+func (k *calls) abandon(now, spent float64) {
+	k.done(now+k.linger, spent+k.linger, false)
 	k.ghosts = append(k.ghosts, now+k.linger)
 }
 
-// memory is what RPCs in hand take.
-type memory struct {
-	room float64
-	used float64
-}
-
-const (
-	holdShare = 0.8  // of the memory, for holding one more: what is held must still be able to run
-	runShare  = 0.95 // of the memory, for running one more: the rest is for reads nobody can turn away unread
-)
-
 // drain is the time to leave.
 type drain struct {
 	on    bool
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,453 @@
+package control
+
+import (
+	"reflect"
+	"testing"
+)
+
+func TestRamp(t *testing.T) {
+	cases := []struct {
+		name     string
+		cold     bool
+		callers  int
+		at       float64
+		low, top int // of 400 callers
+	}{
+		{"cold at the start", true, 400, 0, 0, 15},
+		{"a quarter in", true, 400, 5000, 70, 130},
+		{"half in", true, 400, 10900, 160, 240},
+		{"whole", true, 400, 20000, 400, 400},
+		{"warm", false, 400, 0, 400, 400},
+		{"few callers are split", true, 2, 10000, 150, 250},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newRamp(c.cold, 20000, c.callers, 7)
+			in := 0
+			for i := range 400 {
+				caller, subject := uint16(i), uint64(0)
+				if c.callers < 400 {
+					caller, subject = uint16(i%c.callers), uint64(i)
+				}
+				if p.takes(0, caller, subject, 1) && !p.takes(c.at, caller, subject, 1) {
+					t.Errorf("caller %d was in and is out", i)
+				}
+				if p.takes(c.at, caller, subject, 1) {
+					in++
+				}
+			}
+			if in < c.low || in > c.top {
+				t.Errorf("%d of 400 in, want %d to %d", in, c.low, c.top)
+			}
+		})
+	}
+}
+
+func TestRampPushback(t *testing.T) {
+	s := plain()
+	s.node.Cold = true
+	w := start(t, s)
+	n := 0
+	for id := uint32(1); id <= 50; id++ {
+		w.arrive(id, Event{Caller: uint16(id), Retry: true})
+		for _, a := range w.last {
+			if a.Do == PushBack {
+				n++
+				if a.Last || a.Time <= 0 || a.Time > 200 {
+					t.Errorf("ramp pushes back with %+v", a)
+				}
+			}
+		}
+	}
+	if n < 45 {
+		t.Errorf("%d of 50 pushed back at the start of a cold server", n)
+	}
+}
+
+// A stall runs the clock without traffic; the ramp must not come out of it further on.
+func TestStallHoldsRamp(t *testing.T) {
+	s := plain()
+	s.node.Cold = true
+	w := start(t, s)
+	w.until(2000, Gauges{})
+	w.now = 12000
+	w.ev(Event{Kind: Timer})
+	w.c.ramp.takes(w.now, 1, 0, 1)
+	if w.c.ramp.most > 15 {
+		t.Errorf("ramp at %v%% after 2 s and a stall of 10 s of 20", w.c.ramp.most)
+	}
+}
+
+func TestPressure(t *testing.T) {
+	cases := []struct {
+		name    string
+		latency float64
+		busy    float64
+		want    func(share float64) bool
+	}{
+		{"late and busy cuts", 2000, 0.95, func(s float64) bool { return s < 0.8 }},
+		{"late on idle cores does not", 2000, 0.5, func(s float64) bool { return s == 1 }},
+		{"busy in time does not", 300, 1, func(s float64) bool { return s == 1 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := pressure{share: 1, late: make([]float64, 1)}
+			for i := range 20 {
+				p.learn(0, c.latency, 1000)
+				p.step(float64(i)*200, c.busy)
+			}
+			if !c.want(p.share) {
+				t.Errorf("share %v", p.share)
+			}
+			for i := range 100 {
+				p.learn(0, 100, 1000)
+				p.step(float64(20+i)*200, 1)
+			}
+			if p.share != 1 {
+				t.Errorf("share %v long after", p.share)
+			}
+		})
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name string
+		stop Stop
+		at   float64
+		want Do
+	}{
+		{"running past its due time is aborted", StopNone, 3000, Abort},
+		{"running past its latency target is given up where it can be stopped", StopPause, 1100, Abort},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := plain()
+			s.node.Stop = c.stop
+			w := start(t, s)
+			w.arrive(1, Event{})
+			w.until(c.at, Gauges{})
+			if got, ok := w.final[1]; !ok || got != c.want {
+				t.Errorf("answer %v, %v", got, ok)
+			}
+			w.end(1, OK, c.at)
+			if w.c.used != 0 || w.c.active != 0 {
+				t.Errorf("memory %v, runs %d after the end", w.c.used, w.c.active)
+			}
+		})
+	}
+}
+
+// All that waits behind work that hangs is answered in time, in one sweep, though timers come late.
+func TestHeldAnsweredAfterStall(t *testing.T) {
+	w := start(t, plain())
+	for id := uint32(1); id <= 20; id++ {
+		w.arrive(id, Event{})
+	}
+	w.now = 5000
+	w.ev(Event{Kind: Timer})
+	for id := uint32(1); id <= 20; id++ {
+		if _, ok := w.final[id]; !ok {
+			t.Errorf("RPC %d not answered after its due time", id)
+		}
+	}
+}
+
+func TestOverloadIsPushedBackAtOnce(t *testing.T) {
+	w := start(t, plain())
+	for id := uint32(1); id <= 200; id++ {
+		w.arrive(id, Event{})
+	}
+	if n := len(w.final); n < 150 || n == 200 {
+		t.Errorf("%d of 200 pushed back on arrival", n)
+	}
+}
+
+func TestCriticalGetsInWhenOthersDoNot(t *testing.T) {
+	s := plain()
+	s.methods = append(s.methods, Method{Name: "pay", LatencyTarget: 1000, Deadline: 3000, Criticality: 4})
+	w := start(t, s)
+	in := [2]int{}
+	for id := uint32(1); id <= 200; id++ {
+		m := 0
+		if id%4 == 0 {
+			m = 1
+		}
+		w.arrive(id, Event{Method: m})
+		if _, out := w.final[id]; !out {
+			in[m]++
+		}
+	}
+	if in[1] <= in[0]/3 {
+		t.Errorf("%d of 150 of criticality 1 in, %d of 50 of criticality 4", in[0], in[1])
+	}
+}
+
+func TestCustomerOverShareCountsLess(t *testing.T) {
+	s := newShare(10, 1)
+	first, burst := s.within(0, false), 1.0
+	for i := range 400 {
+		burst = s.within(float64(i)*10, false) // 100 a second against 10
+	}
+	if first != 1 || burst > 0.2 {
+		t.Errorf("%v of the first and %v of a tenfold stream within the share", first, burst)
+	}
+}
+
+func tokened() site {
+	s := plain()
+	s.methods[0].Repeat, s.methods[0].Window = Tokened, 5000
+	return s
+}
+
+func TestTokens(t *testing.T) {
+	cases := []struct {
+		name string
+		play func(w *world)
+		runs map[uint32]int // of 2, how it is taken
+		want Do
+	}{
+		{"repeat of a running one joins", func(w *world) { w.arrive(1, Event{}); w.arrive(2, Event{Original: 1}) },
+			map[uint32]int{1: 1, 2: 1}, Join},
+		{"repeat of an ended one joins", func(w *world) {
+			w.arrive(1, Event{})
+			w.end(1, OK, 10)
+			w.arrive(2, Event{Original: 1})
+		}, map[uint32]int{1: 1, 2: 1}, Join},
+		{"two of one batch that name each other: one runs", func(w *world) {
+			w.arrive(1, Event{Original: 2})
+			w.arrive(2, Event{Original: 1})
+		}, map[uint32]int{1: 1, 2: 1}, Join},
+		{"original aborted while it ran still counts as run", func(w *world) {
+			w.arrive(1, Event{})
+			w.until(3000, Gauges{})
+			w.arrive(2, Event{Original: 1})
+		}, map[uint32]int{1: 1, 2: 1}, Join},
+		{"original pushed back unrun: the repeat runs", func(w *world) {
+			w.arrive(8, Event{})
+			w.arrive(9, Event{})
+			w.arrive(1, Event{})
+			w.until(1100, Gauges{OnCores: 2, CoreUse: 1})
+			w.end(8, OK, 1100)
+			w.end(9, OK, 1100)
+			w.arrive(2, Event{Original: 1})
+		}, map[uint32]int{8: 1, 9: 1, 2: 1}, Run},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := start(t, tokened())
+			c.play(w)
+			if !reflect.DeepEqual(w.runs, c.runs) || !w.did(c.want, 2) {
+				t.Errorf("taken %v, want %v; last %+v", w.runs, c.runs, w.last)
+			}
+		})
+	}
+}
+
+func TestTokenRememberedBeforeItRuns(t *testing.T) {
+	w := start(t, tokened())
+	w.arrive(1, Event{Waited: 300})
+	if len(w.last) < 2 || w.last[0].Do != Remember || w.last[0].Time != 4700 || w.last[1].Do != Run {
+		t.Errorf("got %+v", w.last)
+	}
+}
+
+func TestMemory(t *testing.T) {
+	s := tokened()
+	s.node.MemKB = 300
+	w := start(t, s)
+	for id := uint32(1); id <= 40; id++ {
+		w.arrive(id, Event{HeldKB: 20})
+		if need := w.c.used + w.c.keys.used(); need > s.node.MemKB {
+			t.Fatalf("%v kB in use of %v", need, s.node.MemKB)
+		}
+	}
+	if len(w.runs) == 0 || len(w.final) == 0 {
+		t.Errorf("%d run, %d pushed back", len(w.runs), len(w.final))
+	}
+}
+
+func TestCrowd(t *testing.T) {
+	cases := []struct {
+		name  string
+		cold  bool
+		gauge Gauges
+		most  int
+	}{
+		{"work that fills the cores", false, Gauges{OnCores: 2, CoreUse: 1}, 2},
+		{"work that waits for disk half its time", false, Gauges{OnCores: 1, CoreUse: 0.6}, 6},
+		{"cold", true, Gauges{OnCores: 2, CoreUse: 1}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newRunLimit(2, c.cold, 0.2, 20000, 8)
+			for i := range 100 {
+				l.step(float64(i)*period, c.gauge.OnCores, 2)
+			}
+			if n := l.runs(); n > c.most || n < c.most/2 {
+				t.Errorf("%d runs on 2 cores, want at most %d", n, c.most)
+			}
+		})
+	}
+}
+
+// Floods of arrivals wait unread behind the runs; the runs make way.
+func TestRunsMakeWayForReads(t *testing.T) {
+	l := newRunLimit(6, false, 0.2, 20000, 8)
+	for i := range 100 {
+		l.read(0.5)
+		l.step(float64(i)*period, 12, 6)
+	}
+	if n := l.runs(); n > 3 {
+		t.Errorf("%d runs while reads wait half the latency target", n)
+	}
+}
+
+func callers() site {
+	s := plain()
+	s.methods[0].Calls = true
+	return s
+}
+
+func TestCalls(t *testing.T) {
+	cases := []struct {
+		name    string
+		repeat  Repeat
+		skip    float64
+		outcome Outcome
+		times   int // the call fails so often
+		want    Do
+	}{
+		{"call of an idempotent RPC is made again", Idempotent, 0, TimedOut, 1, Call},
+		{"call of a tokened one that may have run is not", Tokened, 0, TimedOut, 1, Abort},
+		{"nor that of a non-idempotent one", NonIdempotent, 0, Reset, 1, Abort},
+		{"proven not run it is", NonIdempotent, 0, Full, 1, Call},
+		{"after two it goes without where that counts", Idempotent, 0.3, Full, 2, Skip},
+		{"after three it is aborted", Idempotent, 0, Full, 3, Abort},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := callers()
+			s.methods[0].Repeat, s.methods[0].SkipShare, s.methods[0].Window = c.repeat, c.skip, 5000
+			w := start(t, s)
+			w.arrive(1, Event{})
+			w.ev(Event{Kind: Wait, RPC: 1})
+			if !w.did(Call, 1) {
+				t.Fatalf("no call: %+v", w.last)
+			}
+			for range c.times {
+				w.ev(Event{Kind: Called, RPC: 1, Outcome: c.outcome, Spent: 5})
+			}
+			if !w.did(c.want, 1) {
+				t.Errorf("got %+v", w.last)
+			}
+		})
+	}
+}
+
+func TestSharedCallsStayWithinTheShare(t *testing.T) {
+	cases := []struct {
+		name  string
+		share float64
+		most  int
+	}{{"whole", 3.7, 3}, {"under one", 0.5, 1}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			k := newCalls(true, c.share, 200)
+			n := 0
+			for k.take(0) {
+				n++
+			}
+			if n != c.most {
+				t.Errorf("%d calls in hand", n)
+			}
+			k.abandon(100, 100)
+			if k.take(299) {
+				t.Error("an abandoned call no longer counts while it lingers")
+			}
+			if c.share < 1 && k.take(400) || !k.take(900) {
+				t.Error("the pause after a call is not that of the share")
+			}
+		})
+	}
+}
+
+func TestDrain(t *testing.T) {
+	w := start(t, plain())
+	w.ev(Event{Kind: Notice, Time: 6000})
+	w.now = 1000
+	w.arrive(1, Event{})
+	w.now = 2100
+	w.arrive(2, Event{Waited: 500})
+	w.end(1, OK, 1100)
+	w.now = 3000
+	w.arrive(3, Event{Waited: 500})
+	w.now = 3100
+	w.arrive(4, Event{Time: 9000})
+	w.end(2, OK, 1000)
+	if w.runs[1] != 1 || w.runs[2] != 1 || w.runs[3] != 0 || w.final[3] != PushBack {
+		t.Errorf("runs %v, final %v", w.runs, w.final)
+	}
+	w = start(t, plain())
+	w.arrive(1, Event{Time: 9000})
+	w.ev(Event{Kind: Notice, Time: 2000})
+	w.until(2000, Gauges{})
+	if w.final[1] != Abort {
+		t.Error("a run at the stop was not answered")
+	}
+}
+
+func TestCallerGone(t *testing.T) {
+	s := plain()
+	s.node.Stop = StopPause
+	w := start(t, s)
+	for id := uint32(1); id <= 3; id++ {
+		w.arrive(id, Event{})
+	}
+	for id := uint32(3); id >= 1; id-- {
+		w.ev(Event{Kind: Left, RPC: id})
+	}
+	w.end(1, Cancelled, 5)
+	w.end(2, Cancelled, 5)
+	if len(w.final) != 0 || w.c.used != 0 || len(w.c.byID) != 0 {
+		t.Errorf("answered %v, memory %v, in hand %d", w.final, w.c.used, len(w.c.byID))
+	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	c := start(t, plain()).c
+	now, id := 1000.0, uint32(0)
+	turn := func() {
+		id++
+		now += 50
+		c.Handle(now, Event{Kind: Arrive, RPC: id, Time: 3000, HeldKB: 10})
+		c.Handle(now, Event{Kind: Timer})
+		c.Handle(now+30, Event{Kind: Ended, RPC: id, Outcome: OK, Spent: 30})
+	}
+	for range 100 {
+		turn()
+	}
+	if n := testing.AllocsPerRun(1000, turn); n != 0 {
+		t.Errorf("%v allocations an RPC", n)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	play := func() (all []Action) {
+		s := tokened()
+		s.node.Cold = true
+		w := start(t, s)
+		for id := uint32(1); id < 300; id++ {
+			w.now += 20
+			w.arrive(id, Event{Caller: uint16(id % 7), Original: id / 3})
+			all = append(all, w.last...)
+			w.end(id/2, OK, 100)
+			all = append(all, w.last...)
+			w.until(w.now, Gauges{OnCores: 4, CoreUse: 1})
+		}
+		return all
+	}
+	if a, b := play(), play(); !reflect.DeepEqual(a, b) {
+		t.Error("two instances told the same act differently")
+	}
+}
--- a/internal/simwire/opening.go
+++ b/internal/simwire/opening.go
@@ -63,7 +63,6 @@
 		Below: control.Below{
 			Shared: l.value["family_info.below"] == "shared",
 			Share:  l.num("family_info.call_share", 0),
-			Over:   l.ms("family_info.calls_over", 5e9),
 			Linger: l.ms("family_info.linger", 0),
 		},
 		Rules: control.Rules{
