--- a/control/control.go
+++ b/control/control.go
@@ -606,8 +606,12 @@
 // finest is the number of shares that the ramp wants at least: steps of a twentieth of the traffic at most.
 const finest = 20
 
+// slowest makes the ramp's length of the longest warm-up told: most servers are warm well before, and what the ramp
+// refuses the rest of a fleet that is being replaced must serve.
+const slowest = 0.5
+
 func newRamp(cold bool, warmBy float64, callers int, salt uint64) ramp {
-	return ramp{warm: !cold, length: warmBy, parts: uint64((finest + callers - 1) / callers), salt: salt}
+	return ramp{warm: !cold, length: slowest * warmBy, parts: uint64((finest + callers - 1) / callers), salt: salt}
 }
 
 // takes tells whether the ramp lets a caller in. The share never falls, so a caller once in stays in.
