Say unhealthy, shortly and seldom, while all arrivals wait unread until too old

It should also hold against stalls that leave a long line; it could harm a fleet flooded as a whole, so it is kept short. The crowd a cold server may run is held to seven tenths of what kills it even if all runs come back from disk at once.

--- a/control/control.go
+++ b/control/control.go
@@ -26,7 +26,6 @@
 	free     state = iota
 	held           // read, not run yet
 	running        // on a core or waiting for disk
-	paused         // stopped, keeps its progress and memory
 	standing       // waits for us to make its call
 	calling        // its call is out
 	joined         // waits for the RPC that it repeats
@@ -76,6 +75,7 @@
 	keys      keys
 	calls     calls
 	drain     drain
+	health    health
 	signal    signal
 	pace      []pace
 	shares    []share
@@ -96,8 +96,9 @@
 		ramp:      newRamp(node.Cold, node.WarmBy, fleet.Callers, node.Seed),
 		pressure:  pressure{share: 1, late: make([]float64, len(methods))},
 		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
-		keys:      keys{kb: node.KeyKB, until: map[uint32]float64{}},
+		keys:      keys{kb: node.KeyKB},
 		calls:     newCalls(below.Shared, below.Share, below.Linger),
+		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
 		pace:      make([]pace, len(methods)),
 		chance:    rand.New(rand.NewSource(int64(node.Seed))),
@@ -139,7 +140,7 @@
 		c.called(&ev)
 	case Notice:
 		c.drain = drain{on: true, since: now, stop: now + ev.Time}
-		c.do(Action{Do: Health, Good: false}, Action{Do: Note, Text: "drain: notice to leave"})
+		c.do(Action{Do: Health}, Action{Do: Note, Text: "drain: notice to leave"})
 	case Timer:
 		c.tick(&ev.Gauges)
 	}
@@ -149,6 +150,13 @@
 
 func (c *Control) do(a ...Action) { c.out = append(c.out, a...) }
 
+func (c *Control) note(is bool, yes, no string) {
+	if !is {
+		yes = no
+	}
+	c.do(Action{Do: Note, Text: yes})
+}
+
 func (c *Control) arm() {
 	c.wake = c.now + period
 	c.do(Action{Do: Arm, Time: c.wake})
@@ -213,7 +221,8 @@
 	if meth.Repeat == Tokened {
 		// Remembered before it runs, for the whole window counted from its arrival here.
 		life := math.Max(meth.Window-ev.Waited, c.node.Tick)
-		c.keys.add(ev.RPC, c.now+life, c.now+life+meth.Deadline)
+		c.keys.drop(ev.RPC, c.now)
+		c.keys.list = append(c.keys.list, key{ev.RPC, c.now + life, c.now + life + meth.Deadline})
 		c.slab[i].kept = true
 		c.do(Action{Do: Remember, RPC: ev.RPC, Time: life})
 	}
@@ -315,7 +324,7 @@
 	if c.methods[r.method].Repeat == Tokened {
 		token = c.keys.kb
 	}
-	return c.used+c.keys.used()+token < share*c.node.MemKB
+	return c.used+c.keys.used(c.now)+token < share*c.node.MemKB
 }
 
 // add puts an RPC into the slab.
@@ -347,22 +356,19 @@
 	c.spare = append(c.spare, i)
 }
 
-// off books a run as no longer on the cores.
-func (c *Control) off(i int) {
-	c.active--
-	if c.slab[i].long {
-		c.longRuns--
-	}
-}
+// off and on book that a run leaves the cores, or comes to them.
+func (c *Control) off(i int) { c.count(i, -1) }
 
-// on books a run as on the cores.
 func (c *Control) on(i int) {
-	r := &c.slab[i]
-	c.active++
-	if r.long {
-		c.longRuns++
+	c.count(i, 1)
+	c.slab[i].state = running
+}
+
+func (c *Control) count(i, n int) {
+	c.active += n
+	if c.slab[i].long {
+		c.longRuns += n
 	}
-	r.state = running
 }
 
 // shed pushes an RPC back for overload. A marked further try has met another full server before this one: its caller
@@ -375,7 +381,7 @@
 func (c *Control) push(i int, away float64, last bool) {
 	r := &c.slab[i]
 	if r.kept {
-		c.keys.forget(r.id)
+		c.keys.drop(r.id, c.now)
 		c.do(Action{Do: Forget, RPC: r.id})
 	}
 	c.do(Action{Do: PushBack, RPC: r.id, Last: last, Time: away})
@@ -397,7 +403,7 @@
 		}
 	case standing, calling:
 		if r.state == calling {
-			c.calls.abandon(c.now, c.now-r.stood)
+			c.calls.done(c.now, c.now-r.stood, TimedOut)
 		}
 		r.state = standing // its end is told
 	default:
@@ -418,7 +424,7 @@
 		c.abort(i)
 	default:
 		if r.kept && r.state == held {
-			c.keys.forget(id)
+			c.keys.drop(id, c.now)
 			c.do(Action{Do: Forget, RPC: id})
 		}
 		c.drop(i)
@@ -433,7 +439,7 @@
 	}
 	r := &c.slab[i]
 	if r.state == calling {
-		c.calls.abandon(c.now, c.now-r.stood)
+		c.calls.done(c.now, c.now-r.stood, TimedOut)
 	}
 	if ev.Outcome == OK && r.state == running {
 		spent := ev.Spent - r.below
@@ -482,23 +488,14 @@
 		return
 	}
 	r := &c.slab[i]
-	if ev.Outcome == OK {
-		c.calls.done(c.now, ev.Spent, true)
+	c.calls.done(c.now, ev.Spent, ev.Outcome)
+	r.state = standing
+	switch {
+	case ev.Outcome == OK:
 		r.below += c.now - r.stood
 		c.on(i)
-	} else {
-		if ev.Outcome == TimedOut || ev.Outcome == Reset {
-			c.calls.abandon(c.now, ev.Spent)
-		} else {
-			c.calls.done(c.now, ev.Spent, false)
-		}
-		r.state = standing
-		// An effect below is not asked for again unless the call before is known not to have run.
-		if c.methods[r.method].Repeat != Idempotent && ev.Outcome != Full && ev.Outcome != Unreachable {
-			c.abort(i)
-			return
-		}
-		c.call(i)
+	case c.methods[r.method].Repeat != Idempotent && ev.Outcome != Full && ev.Outcome != Unreachable:
+		c.abort(i) // an effect below is not asked for again unless the call before is known not to have run
 	}
 	c.standing()
 }
@@ -515,17 +512,15 @@
 // tick looks at the gauges and at all that falls due.
 func (c *Control) tick(g *Gauges) {
 	if gap := c.now - c.wake; gap > 3*period {
-		// A stall ran the clock without traffic: the ramp's does not count it.
-		c.ramp.begin += gap
+		c.ramp.begin += gap // a stall ran the clock without traffic: the ramp's does not count it
 	}
-	c.keys.expire(c.now)
 	c.limit.step(c.now, g.OnCores, c.active)
 	if c.pressure.step(c.now, g.CoreUse) {
-		text := "pressure: share of arrivals cut"
-		if c.pressure.share == 1 {
-			text = "pressure: all arrivals taken again"
-		}
-		c.do(Action{Do: Note, Text: text})
+		c.note(c.pressure.share < 1, "pressure: share of arrivals cut", "pressure: all arrivals taken again")
+	}
+	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
+		c.do(Action{Do: Health, Good: c.health.good})
+		c.note(c.health.good, "health: good again", "health: no, arrivals wait unread past the latency target")
 	}
 	if v, say := c.signal.step(c.now, c.places()); say {
 		c.do(Action{Do: Tell, Value: v})
@@ -577,7 +572,7 @@
 		}
 		r := &c.slab[i]
 		more := r.heldKB * (c.node.RunFactor - 1)
-		if c.used+more+c.keys.used() > share*c.node.MemKB {
+		if c.used+more+c.keys.used(c.now) > share*c.node.MemKB {
 			return
 		}
 		if c.now+doubt*c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
@@ -750,13 +745,9 @@
 func (h *hold) next(slab []rpc, longRuns, runs int) int {
 	short, long := h.line[0], h.line[1]
 	switch {
-	case len(long) == 0 && len(short) == 0:
+	case h.n == 0:
 		return -1
-	case len(long) == 0:
-		return short[0]
-	case len(short) == 0:
-		return long[0]
-	case 2*longRuns >= runs || slab[short[0]].target <= slab[long[0]].target:
+	case len(long) == 0 || len(short) > 0 && (2*longRuns >= runs || slab[short[0]].target <= slab[long[0]].target):
 		return short[0]
 	}
 	return long[0]
@@ -780,7 +771,8 @@
 	return runLimit{cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1}
 }
 
-func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) } // about ten arrivals of memory
+// read hears how long an arrival waited unread; about ten arrivals are remembered.
+func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) }
 
 func (l *runLimit) step(now, onCores float64, active int) {
 	const weight = 0.02 // two seconds of memory at the usual period
@@ -796,18 +788,18 @@
 func (l *runLimit) runs() int {
 	const (
 		busy = 1.3 // runs on the cores for each core, when others wait for disk: a core seldom idles
-		safe = 0.6 // part of the crowd that kills, for what comes back from disk at once
-		most = 4.0 // runs for each core, however much they seem to wait
+		safe = 0.7 // part of the crowd that kills: all may come back from disk at once, and some from calls
 		few  = 0.1 // of the tightest latency target: waits unread up to this are no flood
 	)
 	speed := 1.0
 	if l.cold {
 		speed = math.Min(1, l.start+(1-l.start)*(l.now-l.begin)/l.warmBy)
 	}
-	per := math.Min(1, safe*(1+(l.ceiling-1)*speed))
+	per := 1.0
 	if l.onCore < 0.95 {
-		per *= math.Min(most, busy/l.onCore)
+		per = busy / l.onCore
 	}
+	per = math.Min(per, safe*(1+(l.ceiling-1)*speed))
 	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread waits for
 	// seconds and is too old when it is read.
 	n := per*l.cores - 0.7*l.other*math.Min(1, math.Max(0, l.unread/few-1))
@@ -867,58 +859,49 @@
 	return math.Min(1, s.rate*memory*(1-math.Exp((s.first-now)/memory))/s.count)
 }
 
-// keys are the tokens remembered here.
+// keys are the tokens remembered here: some tens, so they are simply looked through.
 type keys struct {
-	kb    float64
-	list  []key
-	until map[uint32]float64
-	live  int
+	kb   float64
+	list []key
 }
 
 type key struct {
 	id    uint32
 	until float64 // the server's table drops it then
 	known float64 // a repeat read late may still name it until then
-	gone  bool
 }
 
-func (k *keys) add(id uint32, until, known float64) {
-	k.list = append(k.list, key{id: id, until: until, known: known})
-	k.until[id] = known
-	k.live++
+// drop forgets an RPC's token, and all that can no longer be named.
+func (k *keys) drop(id uint32, now float64) {
+	n := 0
+	for _, e := range k.list {
+		if e.id != id && e.known >= now {
+			k.list[n] = e
+			n++
+		}
+	}
+	k.list = k.list[:n]
 }
 
-func (k *keys) forget(id uint32) {
-	for i := range k.list {
-		if e := &k.list[i]; e.id == id && !e.gone {
-			e.gone = true
-			k.live--
+func (k *keys) knows(id uint32) bool {
+	for _, e := range k.list {
+		if e.id == id {
+			return true
 		}
 	}
-	delete(k.until, id)
+	return false
 }
 
-func (k *keys) knows(id uint32) bool { _, ok := k.until[id]; return ok }
-
-func (k *keys) expire(now float64) {
-	n := 0
+// used is the memory that they take.
+func (k *keys) used(now float64) (kb float64) {
 	for _, e := range k.list {
-		if !e.gone && e.until < now {
-			e.gone = true
-			k.live--
-		}
-		if e.known < now || e.gone && !k.knows(e.id) {
-			delete(k.until, e.id)
-			continue
+		if e.until >= now {
+			kb += k.kb
 		}
-		k.list[n] = e
-		n++
 	}
-	k.list = k.list[:n]
+	return kb
 }
 
-func (k *keys) used() float64 { return float64(k.live) * k.kb }
-
 // calls are the calls in hand below. A shared dependency limits them to this node's share at every moment, so that the
 // mean is kept whatever the others do.
 type calls struct {
@@ -954,23 +937,21 @@
 	return true
 }
 
-// done books the end of a call that took spent.
-func (k *calls) done(now, spent float64, ok bool) {
+// done books the end of a call. One that we gave up on stays in hand below for a while.
+func (k *calls) done(now, spent float64, how Outcome) {
 	k.inHand--
+	if how == TimedOut || how == Reset {
+		now, spent = now+k.linger, spent+k.linger
+		k.ghosts = append(k.ghosts, now)
+	}
 	if k.share > 0 && k.share < 1 {
 		k.rest = now + spent*(1/k.share-1)
 	}
-	if ok {
+	if how == OK {
 		k.usual += 0.1 * (spent - k.usual) // ten calls of memory
 	}
 }
 
-// abandon books a call given up, which stays in hand below for a while.
-func (k *calls) abandon(now, spent float64) {
-	k.done(now+k.linger, spent+k.linger, false)
-	k.ghosts = append(k.ghosts, now+k.linger)
-}
-
 // drain is the time to leave.
 type drain struct {
 	on    bool
@@ -978,6 +959,27 @@
 	stop  float64
 }
 
+// health is what checks are told. It says no while all that arrives waits unread until it is too old: only staying away
+// lets such a server catch up. It stays short and rare, so that a fleet flooded as a whole is not taken off its list.
+type health struct {
+	good  bool
+	since float64
+}
+
+func (h *health) step(now, unread float64) bool {
+	const (
+		flooded = 2.0    // waits unread, in tightest latency targets: by far too old
+		calm    = 0.2    // well below, so that it is not flooded again at once
+		longest = 4000.0 // some seconds pass until the list follows
+		between = 8000.0 // at least two thirds of the time it is on the list
+	)
+	if h.good && (unread < flooded || now < h.since+between) || !h.good && unread > calm && now < h.since+longest {
+		return false
+	}
+	h.good, h.since = !h.good, now
+	return true
+}
+
 // signal is the value that goes out with answers.
 type signal struct {
 	say     Say
@@ -1002,25 +1004,15 @@
 	if now < s.next || s.say == SayNone || s.say == SayShare {
 		return 0, false
 	}
-	if s.say == SayWindow {
-		s.next = now + pace
-		v := math.Max(1, math.Round(each*inTime/s.callers))
-		if math.Abs(v-s.told) < 0.2*s.told {
-			return 0, false
-		}
-		s.told = v
-		return v, true
-	}
 	s.next = now + pace
-	part := 0.0
-	if s.seen > 0 {
-		part = float64(s.shed) / float64(s.seen)
+	v, least := math.Max(1, math.Round(each*inTime/s.callers)), s.told/5
+	if s.say == SayLevel {
+		s.level = math.Min(most, math.Max(0, s.level+gain*(float64(s.shed)/float64(max(1, s.seen))-allow)))
+		s.seen, s.shed, v, least = 0, 0, s.level, 0.01
 	}
-	s.seen, s.shed = 0, 0
-	s.level = math.Min(most, math.Max(0, s.level+gain*(part-allow)))
-	if math.Abs(s.level-s.told) < 0.01 {
-		return 0, false
+	if math.Abs(v-s.told) < least {
+		return 0, false // too small a change to tell
 	}
-	s.told = s.level
-	return s.level, true
+	s.told = v
+	return v, true
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -258,7 +258,7 @@
 	w := start(t, s)
 	for id := uint32(1); id <= 40; id++ {
 		w.arrive(id, Event{HeldKB: 20})
-		if need := w.c.used + w.c.keys.used(); need > s.node.MemKB {
+		if need := w.c.used + w.c.keys.used(w.now); need > s.node.MemKB {
 			t.Fatalf("%v kB in use of %v", need, s.node.MemKB)
 		}
 	}
@@ -291,6 +291,17 @@
 	}
 }
 
+// Work that seems to wait for disk may come back to the cores at once, and a cold server survives little.
+func TestCrowdOfAColdServer(t *testing.T) {
+	l := newRunLimit(6, true, 0.2, 20000, 5)
+	for range 200 {
+		l.step(0, 1, 6)
+	}
+	if n := l.runs(); n > 10 {
+		t.Errorf("%d runs on 6 cores that survive 10.8", n)
+	}
+}
+
 // Floods of arrivals wait unread behind the runs; the runs make way.
 func TestRunsMakeWayForReads(t *testing.T) {
 	l := newRunLimit(6, false, 0.2, 20000, 8)
@@ -303,6 +314,23 @@
 	}
 }
 
+// While all that arrives is too old when read, health says no, but not for long nor again at once.
+func TestHealthWhileFlooded(t *testing.T) {
+	w := start(t, plain())
+	id, off := uint32(0), 0.0
+	for w.now < 30000 {
+		w.until(w.now+40, Gauges{OnCores: 4, CoreUse: 1})
+		id++
+		w.arrive(id, Event{Waited: 2900, Time: 100})
+		if !w.c.health.good {
+			off += 40
+		}
+	}
+	if off < 4000 || off > 13000 {
+		t.Errorf("off the list for %v ms of 30 s", off)
+	}
+}
+
 func callers() site {
 	s := plain()
 	s.methods[0].Calls = true
@@ -361,7 +389,7 @@
 			if n != c.most {
 				t.Errorf("%d calls in hand", n)
 			}
-			k.abandon(100, 100)
+			k.done(100, 100, TimedOut)
 			if k.take(299) {
 				t.Error("an abandoned call no longer counts while it lingers")
 			}
