--- a/control/control.go
+++ b/control/control.go
@@ -394,6 +394,7 @@
 	r := &c.slab[i]
 	if !r.answered {
 		c.do(Action{Do: Abort, RPC: r.id})
+		c.learn(r)
 	}
 	r.answered = true
 	switch r.state {
@@ -411,6 +412,19 @@
 	}
 }
 
+// learn tells the pace of a run aborted late: if only those that end in time counted, all would seem quick.
+func (c *Control) learn(r *rpc) {
+	if r.state != running && r.state != standing && r.state != calling {
+		return
+	}
+	below := r.below
+	if r.state != running {
+		below += c.now - r.stood
+	}
+	p := &c.pace[r.method]
+	p.learn(math.Max(c.now-r.began-below, c.est(r)), r.work, math.Max(below, p.below))
+}
+
 // left hears that a caller no longer waits.
 func (c *Control) left(id uint32) {
 	i, ok := c.byID[id]
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -331,6 +331,21 @@
 	}
 }
 
+// Runs that never end in time must not leave the estimate to those that do.
+func TestLateAbortsAreLearnt(t *testing.T) {
+	s := plain()
+	s.node.Stop = StopPause
+	w := start(t, s)
+	for id := uint32(1); id <= 40; id++ {
+		w.arrive(id, Event{})
+		w.until(w.now+1200, Gauges{OnCores: 2, CoreUse: 1})
+		w.end(id, Cancelled, 1100)
+	}
+	if e := w.c.pace[0].run(1); e < 900 {
+		t.Errorf("run time of %v expected after 40 that were given up at 1000", e)
+	}
+}
+
 func callers() site {
 	s := plain()
 	s.methods[0].Calls = true
