Keep fewer calls in hand while the shared dependency is four times slower than when quick

It should also hold where the dependency slows by itself; there it only moves the line here. The slab of RPCs in hand moves to its own file: it decides nothing.

--- a/control/control.go
+++ b/control/control.go
@@ -1,13 +1,15 @@
 // Package control decides for one server which RPCs it takes, runs and turns away.
 //
-// It is called through one entry point: New makes an instance from what is told at start, and Handle takes one
-// event with the clock and returns the actions that answer it, to be carried out in that order. The returned slice
-// is valid until the next call. The types of events, actions and start-up facts stand in api.go.
-// An instance shares nothing, reads no clock of its own, and the same events give the same actions.
+// It is called through one entry point: New makes an instance from what is told at start, and Handle
+// takes one event with the clock and returns the actions that answer it, to be carried out in that order.
+// The returned slice is valid until the next call. The types of events, actions and start-up facts stand
+// in api.go. An instance shares nothing, reads no clock of its own, and the same events give the same
+// actions.
 //
-// The ordinary path: the ramp lets in a rising share of callers after a cold start, the pressure loop sets the share
-// of arrivals taken, then the arrival is held if it can still be ok in time, and run when the run limit has room.
-// Everything else guards the rules: memory, crowd, tokens, calls below, due answers, drain.
+// The ordinary path: the ramp lets in a rising share of callers after a cold start, the pressure loop
+// sets the share of arrivals taken, then the arrival is held if it can still be ok in time, and run when
+// the run limit has room. Everything else guards the rules: memory, crowd, tokens, calls below, due
+// answers, drain.
 package control
 
 import (
@@ -15,45 +17,10 @@
 	"math/rand"
 )
 
-// period is the time between two looks at the gauges and at what falls due. Half the smallest slack of answers seen
-// fit to promise; twenty looks a second cost a server well under a thousandth of a core.
+// period is the time between two looks at the gauges and at what falls due. It lies under the slack
+// of answers, and twenty-five looks a second cost a server well under a thousandth of a core.
 const period = 40.0
 
-// state is where an RPC in hand stands.
-type state uint8
-
-const (
-	free     state = iota
-	held           // read, not run yet
-	running        // on a core or waiting for disk
-	standing       // waits for us to make its call
-	calling        // its call is out
-	joined         // waits for the RPC that it repeats
-)
-
-// rpc is one RPC in hand. It stays until its run is over, even when it has been answered.
-type rpc struct {
-	id       uint32
-	state    state
-	method   int
-	arrived  float64 // when it reached the machine
-	target   float64 // when the answer is wanted
-	due      float64 // when the caller gives up
-	work     float64 // hint, or 1 where there is none
-	kb       float64 // memory held now
-	heldKB   float64
-	began    float64 // start of its run
-	below    float64 // time spent at calls so far
-	stood    float64 // when it came to stand at its call
-	long     bool
-	kept     bool // its token is remembered
-	again    bool // marked as a further try
-	answered bool
-	value    float64 // criticality that it counts for
-	rank     float64 // where that stands among late arrivals, 0 to 1
-	tries    int     // calls made at this stand
-}
-
 // Control is one instance.
 type Control struct {
 	node    Node
@@ -62,9 +29,7 @@
 	retry   float64 // longest advice to stay away
 	out     []Action
 	now     float64
-	slab    []rpc
-	spare   []int
-	byID    map[uint32]int
+	in      slab    // the RPCs in hand
 	wake    float64 // when the next timer should come
 	used    float64 // memory of the RPCs in hand
 
@@ -89,10 +54,12 @@
 }
 
 // New makes an instance for a server that is just starting.
-func New(node Node, fleet Fleet, below Below, rules Rules, methods []Method, customers []Customer) *Control {
+func New(
+	node Node, fleet Fleet, below Below, rules Rules, methods []Method, customers []Customer,
+) *Control {
 	c := &Control{
 		node: node, methods: methods, grace: rules.DrainGrace, retry: fleet.MaxRetryAfter,
-		byID:      map[uint32]int{},
+		in:        slab{byID: map[uint32]int{}},
 		ramp:      newRamp(node.Cold, node.WarmBy, fleet.Callers, node.Seed),
 		pressure:  pressure{share: 1, late: make([]float64, len(methods))},
 		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
@@ -119,6 +86,7 @@
 // Handle takes what happened and returns what is to be done.
 func (c *Control) Handle(now float64, ev Event) []Action {
 	c.out, c.now = c.out[:0], now
+	i, inHand := c.in.byID[ev.RPC]
 	switch ev.Kind {
 	case Begin:
 		c.ramp.begin, c.limit.begin = now, now
@@ -127,17 +95,23 @@
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
-		c.left(ev.RPC)
+		if inHand {
+			c.left(i)
+		}
 	case Ended:
-		c.ended(&ev)
+		if inHand {
+			c.ended(i, &ev)
+		}
 	case Wait:
-		if i, ok := c.byID[ev.RPC]; ok && c.slab[i].state == running {
+		if inHand && c.in.rpc[i].state == running {
 			c.off(i)
-			c.slab[i].state, c.slab[i].stood, c.slab[i].tries = standing, now, 0
+			c.in.rpc[i].state, c.in.rpc[i].stood, c.in.rpc[i].tries = standing, now, 0
 			c.call(i)
 		}
 	case Called:
-		c.called(&ev)
+		if inHand && c.in.rpc[i].state == calling {
+			c.called(i, &ev)
+		}
 	case Notice:
 		c.drain = drain{on: true, since: now, stop: now + ev.Time}
 		c.do(Action{Do: Health}, Action{Do: Note, Text: "drain: notice to leave"})
@@ -166,9 +140,12 @@
 func (c *Control) arrive(ev *Event) {
 	m := min(ev.Method, len(c.methods)-1)
 	meth := &c.methods[m]
-	r := rpc{id: ev.RPC, state: held, method: m, arrived: c.now - ev.Waited, work: 1, heldKB: ev.HeldKB, kb: ev.HeldKB}
-	if ev.Hint > 0 {
-		r.work = ev.Hint
+	r := rpc{
+		id: ev.RPC, state: held, method: m, arrived: c.now - ev.Waited, work: ev.Hint, again: ev.Retry,
+		heldKB: ev.HeldKB, kb: ev.HeldKB,
+	}
+	if ev.Hint == 0 {
+		r.work = 1
 	}
 	r.due = r.arrived + meth.Deadline
 	age := 0.0
@@ -177,43 +154,39 @@
 	} else if ev.Retry {
 		age = meth.LatencyTarget / 4 // nothing tells; a quarter lies between a prompt and a patient caller
 	}
-	stretch := 0.0
-	if ev.Hint > 0 {
-		stretch = meth.Stretch * ev.Hint
-	}
-	r.target = math.Min(r.arrived+meth.LatencyTarget+stretch-age, r.due)
+	r.target = math.Min(r.arrived+meth.LatencyTarget+meth.Stretch*ev.Hint-age, r.due)
 	r.value = meth.Criticality
 	if ev.Customer < len(c.shares) {
 		in := c.shares[ev.Customer].within(c.now, ev.Retry)
 		r.value *= in + (1-in)*c.overShare
 	}
 	r.rank = c.ranks.of(r.value)
-	r.again = ev.Retry
 	c.limit.read(ev.Waited / c.tightest)
-	i := c.add(r)
+	i := c.in.add(r)
+	c.used += r.kb
 	late := c.drain.on && r.arrived > c.drain.since+c.grace-c.node.Tick
 
-	// A repeat of a remembered RPC is joined: it must neither run again nor, once any try has run, be pushed back.
-	// An original never seen here (two tries of one batch name each other) is no reason to join: the first is taken.
+	// A repeat of a remembered RPC is joined: it must neither run again nor, once any try has run, be
+	// pushed back. An original never seen here (two tries of one batch name each other) is no reason to
+	// join: the first is taken.
 	if ev.Original != 0 && c.known(ev.Original, meth) {
 		if late || !c.room(&r) {
 			c.abort(i)
 			return
 		}
-		c.slab[i].state = joined
+		c.in.rpc[i].state = joined
 		c.do(Action{Do: Join, RPC: ev.RPC})
 		return
 	}
 	c.signal.seen++
-	if late {
+	switch {
+	case late:
 		c.push(i, c.retry, false)
 		return
-	}
-	if !c.ramp.takes(c.now, ev.Caller, ev.Subject, ev.RPC) {
+	case !c.ramp.takes(c.now, ev.Caller, ev.Subject, ev.RPC):
 		c.push(i, math.Min(rampRetry, c.retry), false)
 		return
-	}
-	if !c.pressure.takes(c.chance, r.rank) || !c.feasible(&r) || !c.room(&r) {
+	case !c.pressure.takes(c.chance, r.rank) || !c.feasible(&r) || !c.room(&r):
 		c.signal.shed++
 		c.shed(i)
 		return
@@ -223,18 +196,19 @@
 		life := math.Max(meth.Window-ev.Waited, c.node.Tick)
 		c.keys.drop(ev.RPC, c.now)
 		c.keys.list = append(c.keys.list, key{ev.RPC, c.now + life, c.now + life + meth.Deadline})
-		c.slab[i].kept = true
+		c.in.rpc[i].kept = true
 		c.do(Action{Do: Remember, RPC: ev.RPC, Time: life})
 	}
-	c.slab[i].long = c.est(&r) > longFactor*c.usual()
-	c.hold.add(c.slab, i)
+	c.in.rpc[i].long = c.est(&r) > longFactor*c.usual()
+	c.hold.add(c.in.rpc, i)
 }
 
-// rampRetry is the advice that goes with a refusal of the ramp: short, as the caller should ask others at once.
+// rampRetry is the advice that goes with a refusal of the ramp: short, as the caller should ask others at
+// once.
 const rampRetry = 100.0
 
-// longFactor parts the two lines: work of more than this multiple of the usual is long. Half of all lognormal work
-// lies below the mean, a twentieth above three times it.
+// longFactor parts the two lines: work of more than this multiple of the usual is long. Half of all
+// lognormal work lies below the mean, a twentieth above three times it.
 const longFactor = 3.0
 
 // usual is the run time of the usual RPC: the mean over the methods by what has run.
@@ -248,14 +222,15 @@
 
 // known tells whether the original of a repeat is in hand or has been remembered and not dropped unrun.
 func (c *Control) known(id uint32, m *Method) bool {
-	if i, ok := c.byID[id]; ok {
-		return m.Repeat != Tokened || c.slab[i].kept || c.slab[i].state != held
+	if i, ok := c.in.byID[id]; ok {
+		return m.Repeat != Tokened || c.in.rpc[i].kept || c.in.rpc[i].state != held
 	}
 	return c.keys.knows(id)
 }
 
-// patience is the part of the time before the latency target that an RPC may wait in the hold. What counts for more
-// may wait longer, so in overload the hold stands where the least of it is pushed back, at once, and the rest gets in.
+// patience is the part of the time before the latency target that an RPC may wait in the hold. What
+// counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
+// at once, and the rest gets in.
 func patience(rank float64) float64 {
 	const (
 		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
@@ -270,8 +245,8 @@
 // wait is the expected time in the hold of an RPC that would come last before target.
 func (c *Control) wait(target float64) float64 {
 	ahead := 0.0
-	for i := range c.slab {
-		r := &c.slab[i]
+	for i := range c.in.rpc {
+		r := &c.in.rpc[i]
 		switch r.state {
 		case running:
 			e := c.est(r)
@@ -289,11 +264,13 @@
 	return ahead / n
 }
 
-// doubt is the part of its expected run time by which one RPC's own is trusted to be no shorter: hints are rough, and
-// a run that has a core to itself costs little if it comes late. Heavy work counts most where work is counted.
+// doubt is the part of its expected run time by which one RPC's own is trusted to be no shorter: hints
+// are rough, and a run that has a core to itself costs little if it comes late. Heavy work counts most
+// where work is counted.
 const doubt = 0.5
 
-// feasible tells whether an RPC just read can be ok in time, with the patience that its criticality gives it.
+// feasible tells whether an RPC just read can be ok in time, with the patience that its criticality gives
+// it.
 func (c *Control) feasible(r *rpc) bool {
 	p := &c.pace[r.method]
 	left := r.target - c.now - c.est(r) - p.below
@@ -317,7 +294,8 @@
 	return math.Min(c.retry, math.Max(c.wait(math.Inf(1)), rampRetry))
 }
 
-// room tells whether memory allows to hold an RPC just read, with its token. What is held must still be able to run.
+// room tells whether memory allows to hold an RPC just read, with its token. What is held must still be
+// able to run.
 func (c *Control) room(r *rpc) bool {
 	const share = 0.8
 	token := 0.0
@@ -327,23 +305,9 @@
 	return c.used+c.keys.used(c.now)+token < share*c.node.MemKB
 }
 
-// add puts an RPC into the slab.
-func (c *Control) add(r rpc) int {
-	if len(c.spare) == 0 {
-		c.slab = append(c.slab, rpc{})
-		c.spare = append(c.spare, len(c.slab)-1)
-	}
-	n := len(c.spare) - 1
-	i := c.spare[n]
-	c.spare, c.slab[i] = c.spare[:n], r
-	c.byID[r.id] = i
-	c.used += r.kb
-	return i
-}
-
 // drop takes an RPC out of the slab.
 func (c *Control) drop(i int) {
-	r := &c.slab[i]
+	r := &c.in.rpc[i]
 	switch r.state {
 	case held:
 		c.hold.remove(i, r.long)
@@ -351,9 +315,7 @@
 		c.off(i)
 	}
 	c.used -= r.kb
-	delete(c.byID, r.id)
-	r.state = free
-	c.spare = append(c.spare, i)
+	c.in.drop(i)
 }
 
 // off and on book that a run leaves the cores, or comes to them.
@@ -361,37 +323,42 @@
 
 func (c *Control) on(i int) {
 	c.count(i, 1)
-	c.slab[i].state = running
+	c.in.rpc[i].state = running
 }
 
 func (c *Control) count(i, n int) {
 	c.active += n
-	if c.slab[i].long {
+	if c.in.rpc[i].long {
 		c.longRuns += n
 	}
 }
 
-// shed pushes an RPC back for overload. A marked further try has met another full server before this one: its caller
-// is asked not to go on, or each read of it costs one more server.
+// shed pushes an RPC back for overload. A marked further try has met another full server before this one:
+// its caller is asked not to go on, or each read of it costs one more server.
 func (c *Control) shed(i int) {
-	c.push(i, c.away(), c.slab[i].again)
+	c.push(i, c.away(), c.in.rpc[i].again)
 }
 
 // push pushes a held RPC back; it never ran.
 func (c *Control) push(i int, away float64, last bool) {
-	r := &c.slab[i]
-	if r.kept {
+	r := &c.in.rpc[i]
+	c.forget(r)
+	c.do(Action{Do: PushBack, RPC: r.id, Last: last, Time: away})
+	c.drop(i)
+}
+
+// forget drops the token of an RPC that never ran.
+func (c *Control) forget(r *rpc) {
+	if r.kept && r.state == held {
 		c.keys.drop(r.id, c.now)
 		c.do(Action{Do: Forget, RPC: r.id})
 	}
-	c.do(Action{Do: PushBack, RPC: r.id, Last: last, Time: away})
-	c.drop(i)
 }
 
-// abort answers an RPC with an error. Running work that can be stopped is stopped, unless it has an effect, which
-// a repeat may still ask for.
+// abort answers an RPC with an error. Running work that can be stopped is stopped, unless it has an
+// effect, which a repeat may still ask for.
 func (c *Control) abort(i int) {
-	r := &c.slab[i]
+	r := &c.in.rpc[i]
 	if !r.answered {
 		c.do(Action{Do: Abort, RPC: r.id})
 		c.learn(r)
@@ -412,46 +379,35 @@
 	}
 }
 
-// learn tells the pace of a run aborted late: if only those that end in time counted, all would seem quick.
+// learn tells the pace of a run aborted late: if only those that end in time counted, all would seem
+// quick.
 func (c *Control) learn(r *rpc) {
-	if r.state != running && r.state != standing && r.state != calling {
+	below, p := r.below, &c.pace[r.method]
+	switch r.state {
+	case held, joined:
 		return
-	}
-	below := r.below
-	if r.state != running {
+	case standing, calling:
 		below += c.now - r.stood
 	}
-	p := &c.pace[r.method]
 	p.learn(math.Max(c.now-r.began-below, c.est(r)), r.work, math.Max(below, p.below))
 }
 
 // left hears that a caller no longer waits.
-func (c *Control) left(id uint32) {
-	i, ok := c.byID[id]
-	if !ok {
-		return
-	}
-	r := &c.slab[i]
+func (c *Control) left(i int) {
+	r := &c.in.rpc[i]
 	r.answered = true
 	switch r.state {
 	case running, standing, calling:
 		c.abort(i)
 	default:
-		if r.kept && r.state == held {
-			c.keys.drop(id, c.now)
-			c.do(Action{Do: Forget, RPC: id})
-		}
+		c.forget(r)
 		c.drop(i)
 	}
 }
 
 // ended books the end of a run or join.
-func (c *Control) ended(ev *Event) {
-	i, ok := c.byID[ev.RPC]
-	if !ok {
-		return
-	}
-	r := &c.slab[i]
+func (c *Control) ended(i int, ev *Event) {
+	r := &c.in.rpc[i]
 	if r.state == calling {
 		c.calls.done(c.now, c.now-r.stood, TimedOut)
 	}
@@ -465,7 +421,7 @@
 
 // call makes, puts off or goes without the call that an RPC stands at.
 func (c *Control) call(i int) {
-	r := &c.slab[i]
+	r := &c.in.rpc[i]
 	if r.answered || r.state != standing {
 		return
 	}
@@ -496,12 +452,8 @@
 }
 
 // called hears the end of a call.
-func (c *Control) called(ev *Event) {
-	i, ok := c.byID[ev.RPC]
-	if !ok || c.slab[i].state != calling {
-		return
-	}
-	r := &c.slab[i]
+func (c *Control) called(i int, ev *Event) {
+	r := &c.in.rpc[i]
 	c.calls.done(c.now, ev.Spent, ev.Outcome)
 	r.state = standing
 	switch {
@@ -516,10 +468,8 @@
 
 // standing makes the calls that had to wait.
 func (c *Control) standing() {
-	for i := range c.slab {
-		if c.slab[i].state == standing {
-			c.call(i)
-		}
+	for i := range c.in.rpc {
+		c.call(i)
 	}
 }
 
@@ -539,18 +489,16 @@
 	if v, say := c.signal.step(c.now, c.places()); say {
 		c.do(Action{Do: Tell, Value: v})
 	}
-	for i := range c.slab {
-		if c.slab[i].state != free {
-			c.review(i)
-		}
+	for i := range c.in.rpc {
+		c.review(i)
 	}
 	c.arm()
 }
 
 // review answers an RPC that is due or can no longer be ok in time.
 func (c *Control) review(i int) {
-	r := &c.slab[i]
-	if r.answered {
+	r := &c.in.rpc[i]
+	if r.state == free || r.answered {
 		return
 	}
 	due := r.due - period
@@ -580,11 +528,11 @@
 func (c *Control) pump() {
 	const share = 0.95 // of the memory; the rest is for reads that nobody can turn away unread
 	for c.active < c.limit.runs() {
-		i := c.hold.next(c.slab, c.longRuns, c.limit.runs())
+		i := c.hold.next(c.in.rpc, c.longRuns, c.limit.runs())
 		if i < 0 {
 			return
 		}
-		r := &c.slab[i]
+		r := &c.in.rpc[i]
 		more := r.heldKB * (c.node.RunFactor - 1)
 		if c.used+more+c.keys.used(c.now) > share*c.node.MemKB {
 			return
@@ -612,19 +560,22 @@
 	most   float64
 }
 
-// finest is the number of shares that the ramp wants at least: steps of a twentieth of the traffic at most.
+// finest is the number of shares that the ramp wants at least: steps of a twentieth of the traffic at
+// most.
 const finest = 20
 
-// slowest makes the ramp's length of the longest warm-up told: most servers are warm well before, and what the ramp
-// refuses the rest of a fleet that is being replaced must serve.
+// slowest makes the ramp's length of the longest warm-up told: most servers are warm well before, and
+// what the ramp refuses the rest of a fleet that is being replaced must serve.
 const slowest = 0.5
 
 func newRamp(cold bool, warmBy float64, callers int, salt uint64) ramp {
-	return ramp{warm: !cold, length: slowest * warmBy, parts: uint64((finest + callers - 1) / callers), salt: salt}
+	parts := uint64((finest + callers - 1) / callers)
+	return ramp{warm: !cold, length: slowest * warmBy, parts: parts, salt: salt}
 }
 
 // takes tells whether the ramp lets a caller in. The share never falls, so a caller once in stays in.
-// Where callers are few, each is split by subject: a hashed share of three callers is no share of the traffic.
+// Where callers are few, each is split by subject: a hashed share of three callers is no share of the
+// traffic.
 func (p *ramp) takes(now float64, caller uint16, subject uint64, id uint32) bool {
 	if p.warm {
 		return true
@@ -645,8 +596,8 @@
 	return float64(h%100) <= p.most
 }
 
-// mix is the finalizer of splitmix64. The instance's own salt goes in, so that successors started together do not
-// all shut out the same callers.
+// mix is the finalizer of splitmix64. The instance's own salt goes in, so that successors started
+// together do not all shut out the same callers.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -661,8 +612,8 @@
 	next  float64
 }
 
-// aimPart is the part of the latency target that the latency of runs is held to: the rest is for the way and for
-// the spread about the mean.
+// aimPart is the part of the latency target that the latency of runs is held to: the rest is for the way
+// and for the spread about the mean.
 const aimPart = 0.7
 
 func (p *pressure) learn(m int, latency, target float64) {
@@ -694,7 +645,8 @@
 	return (before == 1) != (p.share == 1)
 }
 
-// takes tells whether an arrival is taken: the share cut is the lowest in rank, with a soft edge drawn by chance.
+// takes tells whether an arrival is taken: the share cut is the lowest in rank, with a soft edge drawn by
+// chance.
 func (p *pressure) takes(chance *rand.Rand, rank float64) bool {
 	const edge = 0.2 // equal values share a rank: without it they would all go at once
 	return p.share == 1 || rank+edge*(chance.Float64()-0.5) >= 1-p.share
@@ -735,11 +687,11 @@
 	return &h.line[0]
 }
 
-func (h *hold) add(slab []rpc, i int) {
-	l := h.of(slab[i].long)
+func (h *hold) add(in []rpc, i int) {
+	l := h.of(in[i].long)
 	*l = append(*l, i)
 	h.n++
-	for k := len(*l) - 1; k > 0 && slab[(*l)[k]].target < slab[(*l)[k-1]].target; k-- {
+	for k := len(*l) - 1; k > 0 && in[(*l)[k]].target < in[(*l)[k-1]].target; k-- {
 		(*l)[k], (*l)[k-1] = (*l)[k-1], (*l)[k]
 	}
 }
@@ -756,15 +708,17 @@
 }
 
 // next is the RPC to run next, or -1. Long work gets at most half of the runs while short work waits.
-func (h *hold) next(slab []rpc, longRuns, runs int) int {
+func (h *hold) next(in []rpc, longRuns, runs int) int {
 	short, long := h.line[0], h.line[1]
 	switch {
 	case h.n == 0:
 		return -1
-	case len(long) == 0 || len(short) > 0 && (2*longRuns >= runs || slab[short[0]].target <= slab[long[0]].target):
-		return short[0]
+	case len(short) == 0:
+		return long[0]
+	case len(long) > 0 && 2*longRuns < runs && in[long[0]].target < in[short[0]].target:
+		return long[0]
 	}
-	return long[0]
+	return short[0]
 }
 
 // runLimit is how many RPCs run at once, calls not counted: just enough to keep the cores busy.
@@ -782,7 +736,9 @@
 }
 
 func newRunLimit(cores int, cold bool, start, warmBy, ceiling float64) runLimit {
-	return runLimit{cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1}
+	return runLimit{
+		cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1,
+	}
 }
 
 // read hears how long an arrival waited unread; about ten arrivals are remembered.
@@ -814,8 +770,8 @@
 		per = busy / l.onCore
 	}
 	per = math.Min(per, safe*(1+(l.ceiling-1)*speed))
-	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread waits for
-	// seconds and is too old when it is read.
+	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread
+	// waits for seconds and is too old when it is read.
 	n := per*l.cores - 0.7*l.other*math.Min(1, math.Max(0, l.unread/few-1))
 	return int(math.Max(math.Ceil(l.cores/3), math.Round(n)))
 }
@@ -916,10 +872,12 @@
 	return kb
 }
 
-// calls are the calls in hand below. A shared dependency limits them to this node's share at every moment, so that the
-// mean is kept whatever the others do.
+// calls are the calls in hand below. A shared dependency limits them to this node's share at every
+// moment, so that the mean is kept whatever the others do.
 type calls struct {
 	share  float64 // 0 where nothing is shared
+	most   float64 // of that, what keeps it quick
+	quick  float64 // time of a call when it is not crowded
 	linger float64
 	inHand int
 	ghosts []float64 // until when abandoned calls stay there
@@ -931,7 +889,7 @@
 	if !shared {
 		share = 0
 	}
-	return calls{share: share, linger: linger}
+	return calls{share: share, most: share, linger: linger}
 }
 
 // take books a call if there is room for it.
@@ -944,7 +902,7 @@
 		}
 	}
 	k.ghosts = k.ghosts[:n]
-	if k.share > 0 && (float64(k.inHand+n) >= math.Max(1, math.Floor(k.share)) || now < k.rest) {
+	if k.share > 0 && (float64(k.inHand+n) >= math.Max(1, math.Floor(k.most)) || now < k.rest) {
 		return false
 	}
 	k.inHand++
@@ -961,8 +919,21 @@
 	if k.share > 0 && k.share < 1 {
 		k.rest = now + spent*(1/k.share-1)
 	}
+	// A crowded dependency slows all and stays crowded: callers wait longer, so more calls stand there.
+	// Fewer calls in hand let it recover whatever slowed it; where it is slow for another reason this
+	// costs what queues here instead.
+	const slow = 4.0 // times as long as when quick: above the spread of single calls
 	if how == OK {
+		if k.quick == 0 {
+			k.usual, k.quick = spent, spent
+		}
 		k.usual += 0.1 * (spent - k.usual) // ten calls of memory
+		k.quick = math.Min(k.usual, 1.001*k.quick)
+	}
+	if k.usual > slow*k.quick || how == TimedOut {
+		k.most = math.Max(1, math.Min(k.most, float64(k.inHand+1))*0.95)
+	} else {
+		k.most = math.Min(k.share, k.most+0.1)
 	}
 }
 
@@ -973,8 +944,9 @@
 	stop  float64
 }
 
-// health is what checks are told. It says no while all that arrives waits unread until it is too old: only staying away
-// lets such a server catch up. It stays short and rare, so that a fleet flooded as a whole is not taken off its list.
+// health is what checks are told. It says no while all that arrives waits unread until it is too old:
+// only staying away lets such a server catch up. It stays short and rare, so that a fleet flooded as a
+// whole is not taken off its list.
 type health struct {
 	good  bool
 	since float64
@@ -987,11 +959,14 @@
 		longest = 4000.0 // some seconds pass until the list follows
 		between = 8000.0 // at least two thirds of the time it is on the list
 	)
-	if h.good && (unread < flooded || now < h.since+between) || !h.good && unread > calm && now < h.since+longest {
-		return false
+	turn := unread > flooded && now > h.since+between
+	if !h.good {
+		turn = unread < calm || now > h.since+longest
 	}
-	h.good, h.since = !h.good, now
-	return true
+	if turn {
+		h.good, h.since = !h.good, now
+	}
+	return turn
 }
 
 // signal is the value that goes out with answers.
@@ -1005,8 +980,8 @@
 	next    float64
 }
 
-// step moves the level so that what this server would push back for overload is not sent at all; a window is what
-// it can hold in time, over its callers.
+// step moves the level so that what this server would push back for overload is not sent at all; a window
+// is what it can hold in time, over its callers.
 func (s *signal) step(now, inTime float64) (float64, bool) {
 	const (
 		pace  = 250.0
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -207,8 +207,10 @@
 		runs map[uint32]int // of 2, how it is taken
 		want Do
 	}{
-		{"repeat of a running one joins", func(w *world) { w.arrive(1, Event{}); w.arrive(2, Event{Original: 1}) },
-			map[uint32]int{1: 1, 2: 1}, Join},
+		{"repeat of a running one joins", func(w *world) {
+			w.arrive(1, Event{})
+			w.arrive(2, Event{Original: 1})
+		}, map[uint32]int{1: 1, 2: 1}, Join},
 		{"repeat of an ended one joins", func(w *world) {
 			w.arrive(1, Event{})
 			w.end(1, OK, 10)
@@ -408,6 +410,9 @@
 			if k.take(299) {
 				t.Error("an abandoned call no longer counts while it lingers")
 			}
+			for k.inHand > 0 {
+				k.done(400, 1, OK)
+			}
 			if c.share < 1 && k.take(400) || !k.take(900) {
 				t.Error("the pause after a call is not that of the share")
 			}
@@ -415,6 +420,27 @@
 	}
 }
 
+// A crowded dependency stays crowded; fewer calls stand there until it is quick again.
+func TestCallsMakeWayForASlowDependency(t *testing.T) {
+	k := newCalls(true, 20, 200)
+	play := func(n int, spent float64) float64 {
+		for range n {
+			k.take(0)
+			k.done(0, spent, OK)
+		}
+		return k.most
+	}
+	if m := play(50, 40); m != 20 {
+		t.Errorf("%v calls while it is quick", m)
+	}
+	if m := play(50, 400); m > 2 {
+		t.Errorf("%v calls while it is ten times slower", m)
+	}
+	if m := play(250, 40); m < 15 {
+		t.Errorf("%v calls long after", m)
+	}
+}
+
 func TestDrain(t *testing.T) {
 	w := start(t, plain())
 	w.ev(Event{Kind: Notice, Time: 6000})
@@ -452,8 +478,8 @@
 	}
 	w.end(1, Cancelled, 5)
 	w.end(2, Cancelled, 5)
-	if len(w.final) != 0 || w.c.used != 0 || len(w.c.byID) != 0 {
-		t.Errorf("answered %v, memory %v, in hand %d", w.final, w.c.used, len(w.c.byID))
+	if len(w.final) != 0 || w.c.used != 0 || len(w.c.in.byID) != 0 {
+		t.Errorf("answered %v, memory %v, in hand %d", w.final, w.c.used, len(w.c.in.byID))
 	}
 }
 
