--- a/control/control.go
+++ b/control/control.go
@@ -478,7 +478,7 @@
 	if gap := c.now - c.wake; gap > 3*period {
 		c.ramp.begin += gap // a stall ran the clock without traffic: the ramp's does not count it
 	}
-	c.limit.step(c.now, g.OnCores, c.active)
+	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
 	if c.pressure.step(c.now, g.CoreUse) {
 		c.note(c.pressure.share < 1, "pressure: share of arrivals cut", "pressure: all arrivals taken again")
 	}
@@ -729,6 +729,7 @@
 	start   float64
 	warmBy  float64
 	ceiling float64
+	busy    float64 // runs on the cores for each core, where others wait for disk
 	onCore  float64 // share of the runs that want a core, the others wait for disk
 	other   float64 // what else wants the cores: reads, checks, new connections
 	unread  float64 // wait of arrivals before they were read, in parts of the tightest latency target
@@ -737,17 +738,20 @@
 
 func newRunLimit(cores int, cold bool, start, warmBy, ceiling float64) runLimit {
 	return runLimit{
-		cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1,
+		cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1, busy: 1.3,
 	}
 }
 
 // read hears how long an arrival waited unread; about ten arrivals are remembered.
 func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) }
 
-func (l *runLimit) step(now, onCores float64, active int) {
+func (l *runLimit) step(now, onCores, use float64, active, waiting int) {
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
 	l.other += 4 * weight * (math.Max(0, onCores-float64(active)) - l.other)
+	if waiting > 0 { // cores that idle while RPCs are held want more runs, full ones do with fewer
+		l.busy = math.Min(2, math.Max(1, l.busy+0.1*(0.97-use)))
+	}
 	if active > 0 && float64(active) >= l.cores/2 {
 		f := math.Min(1, onCores/float64(active))
 		l.onCore += weight * (f - l.onCore)
@@ -757,7 +761,6 @@
 // runs is the limit. The crowd that kills is told; it is kept to well under that, the less while cold.
 func (l *runLimit) runs() int {
 	const (
-		busy = 1.3 // runs on the cores for each core, when others wait for disk: a core seldom idles
 		safe = 0.7 // part of the crowd that kills: all may come back from disk at once, and some from calls
 		few  = 0.1 // of the tightest latency target: waits unread up to this are no flood
 	)
@@ -767,7 +770,7 @@
 	}
 	per := 1.0
 	if l.onCore < 0.95 {
-		per = busy / l.onCore
+		per = l.busy / l.onCore
 	}
 	per = math.Min(per, safe*(1+(l.ceiling-1)*speed))
 	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -284,7 +284,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			l := newRunLimit(2, c.cold, 0.2, 20000, 8)
 			for i := range 100 {
-				l.step(float64(i)*period, c.gauge.OnCores, 2)
+				l.step(float64(i)*period, c.gauge.OnCores, c.gauge.CoreUse, 2, 1)
 			}
 			if n := l.runs(); n > c.most || n < c.most/2 {
 				t.Errorf("%d runs on 2 cores, want at most %d", n, c.most)
@@ -297,7 +297,7 @@
 func TestCrowdOfAColdServer(t *testing.T) {
 	l := newRunLimit(6, true, 0.2, 20000, 5)
 	for range 200 {
-		l.step(0, 1, 6)
+		l.step(0, 1, 0.5, 6, 1)
 	}
 	if n := l.runs(); n > 10 {
 		t.Errorf("%d runs on 6 cores that survive 10.8", n)
@@ -309,7 +309,7 @@
 	l := newRunLimit(6, false, 0.2, 20000, 8)
 	for i := range 100 {
 		l.read(0.5)
-		l.step(float64(i)*period, 12, 6)
+		l.step(float64(i)*period, 12, 1, 6, 1)
 	}
 	if n := l.runs(); n > 3 {
 		t.Errorf("%d runs while reads wait half the latency target", n)
