--- a/control/control.go
+++ b/control/control.go
@@ -411,6 +411,7 @@
 	if r.state == calling {
 		c.calls.done(c.now, c.now-r.stood, TimedOut)
 	}
+	c.limit.ends++
 	if ev.Outcome == OK && r.state == running {
 		spent := ev.Spent - r.below
 		c.pace[r.method].learn(spent, r.work, r.below)
@@ -732,6 +733,10 @@
 	busy    float64 // runs on the cores for each core, where others wait for disk
 	onCore  float64 // share of the runs that want a core, the others wait for disk
 	other   float64 // what else wants the cores: reads, checks, new connections
+	reads   float64 // arrivals of late
+	reading float64 // and what they took of the cores
+	ends    float64 // the same of runs
+	running float64
 	unread  float64 // wait of arrivals before they were read, in parts of the tightest latency target
 	now     float64
 }
@@ -743,12 +748,18 @@
 }
 
 // read hears how long an arrival waited unread; about ten arrivals are remembered.
-func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) }
+func (l *runLimit) read(waited float64) {
+	l.unread += 0.1 * (waited - l.unread)
+	l.reads++
+}
 
 func (l *runLimit) step(now, onCores, use float64, active, waiting int) {
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
-	l.other += 4 * weight * (math.Max(0, onCores-float64(active)) - l.other)
+	other := math.Max(0, onCores-float64(active))
+	l.other += 4 * weight * (other - l.other)
+	l.reads, l.reading = l.reads*(1-weight), l.reading*(1-weight)+other
+	l.ends, l.running = l.ends*(1-weight), l.running*(1-weight)+float64(active)
 	if waiting > 0 { // cores that idle while RPCs are held want more runs, full ones do with fewer
 		l.busy = math.Min(2, math.Max(1, l.busy+0.1*(0.97-use)))
 	}
@@ -774,8 +785,13 @@
 	}
 	per = math.Min(per, safe*(1+(l.ceiling-1)*speed))
 	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread
-	// waits for seconds and is too old when it is read.
-	n := per*l.cores - 0.7*l.other*math.Min(1, math.Max(0, l.unread/few-1))
+	// waits for seconds and is too old when it is read. The dearer a read is next to a run the less: at
+	// a quarter, reading faster only to push back more loses what it should save.
+	cheap := 0.0
+	if l.reads > 0 && l.running > 0 {
+		cheap = math.Max(0, 1-4*l.reading/l.reads*l.ends/l.running)
+	}
+	n := per*l.cores - cheap*l.other*math.Min(1, math.Max(0, l.unread/few-1))
 	return int(math.Max(math.Ceil(l.cores/3), math.Round(n)))
 }
 
