--- a/control/control.go
+++ b/control/control.go
@@ -528,7 +528,7 @@
 // pump runs what the run limit and the memory have room for.
 func (c *Control) pump() {
 	const share = 0.95 // of the memory; the rest is for reads that nobody can turn away unread
-	for c.active < c.limit.runs() {
+	for c.active+c.stuck() < c.limit.runs() {
 		i := c.hold.next(c.in.rpc, c.longRuns, c.limit.runs())
 		if i < 0 {
 			return
@@ -551,6 +551,17 @@
 	}
 }
 
+// stuck counts the RPCs that wait for room below. They take the places of runs: what is started beside
+// them would only come to stand there too, its work on the cores lost.
+func (c *Control) stuck() (n int) {
+	for i := range c.in.rpc {
+		if r := &c.in.rpc[i]; r.state == standing && !r.answered {
+			n++
+		}
+	}
+	return n
+}
+
 // ramp is the rising share of callers that a cold server takes.
 type ramp struct {
 	warm   bool
@@ -848,49 +859,6 @@
 	return math.Min(1, s.rate*memory*(1-math.Exp((s.first-now)/memory))/s.count)
 }
 
-// keys are the tokens remembered here: some tens, so they are simply looked through.
-type keys struct {
-	kb   float64
-	list []key
-}
-
-type key struct {
-	id    uint32
-	until float64 // the server's table drops it then
-	known float64 // a repeat read late may still name it until then
-}
-
-// drop forgets an RPC's token, and all that can no longer be named.
-func (k *keys) drop(id uint32, now float64) {
-	n := 0
-	for _, e := range k.list {
-		if e.id != id && e.known >= now {
-			k.list[n] = e
-			n++
-		}
-	}
-	k.list = k.list[:n]
-}
-
-func (k *keys) knows(id uint32) bool {
-	for _, e := range k.list {
-		if e.id == id {
-			return true
-		}
-	}
-	return false
-}
-
-// used is the memory that they take.
-func (k *keys) used(now float64) (kb float64) {
-	for _, e := range k.list {
-		if e.until >= now {
-			kb += k.kb
-		}
-	}
-	return kb
-}
-
 // calls are the calls in hand below. A shared dependency limits them to this node's share at every
 // moment, so that the mean is kept whatever the others do.
 type calls struct {
@@ -941,7 +909,7 @@
 	// A crowded dependency slows all and stays crowded: callers wait longer, so more calls stand there.
 	// Fewer calls in hand let it recover whatever slowed it; where it is slow for another reason this
 	// costs what queues here instead.
-	const slow = 4.0 // times as long as when quick: above the spread of single calls
+	const slow = 2.5 // times as long as when quick: above the spread of single calls
 	if how == OK {
 		if k.quick == 0 {
 			k.usual, k.quick = spent, spent
@@ -975,7 +943,7 @@
 	const (
 		flooded = 2.0    // waits unread, in tightest latency targets: by far too old
 		calm    = 0.2    // well below, so that it is not flooded again at once
-		longest = 4000.0 // some seconds pass until the list follows
+		longest = 2500.0 // about as long as the list takes to follow
 		between = 8000.0 // at least two thirds of the time it is on the list
 	)
 	turn := unread > flooded && now > h.since+between
