Send on at once what would outlast an impatient caller

Three tries left alike make a habit; a try that waits longer unmakes it. It should also hold against proxies with short time-outs; it could harm heavy RPCs of a caller whose last try waits longer than the others, should every server send it on.

--- a/control/control.go
+++ b/control/control.go
@@ -46,7 +46,7 @@
 	shares    []share
 	chance    *rand.Rand
 	active    int // running, not at a call
-	longRuns  int // of these, long ones
+	habits    map[uint16]habit
 	ranks     ranks
 	tightest  float64 // the tightest latency target
 	overShare float64
@@ -67,6 +67,7 @@
 		calls:     newCalls(below.Shared, below.Share, below.Linger),
 		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
+		habits:    map[uint16]habit{},
 		pace:      make([]pace, len(methods)),
 		chance:    rand.New(rand.NewSource(int64(node.Seed))),
 		overShare: fleet.OverShare, tells: fleet.TellsTime,
@@ -104,7 +105,7 @@
 		}
 	case Wait:
 		if inHand && c.in.rpc[i].state == running {
-			c.off(i)
+			c.active--
 			c.in.rpc[i].state, c.in.rpc[i].stood, c.in.rpc[i].tries = standing, now, 0
 			c.call(i)
 		}
@@ -141,7 +142,7 @@
 	m := min(ev.Method, len(c.methods)-1)
 	meth := &c.methods[m]
 	r := rpc{
-		id: ev.RPC, state: held, method: m, arrived: c.now - ev.Waited, work: ev.Hint, again: ev.Retry,
+		id: ev.RPC, state: held, method: m, arrived: c.now - ev.Waited, work: ev.Hint, again: ev.Retry, caller: ev.Caller,
 		heldKB: ev.HeldKB, kb: ev.HeldKB,
 	}
 	if ev.Hint == 0 {
@@ -155,6 +156,7 @@
 		age = meth.LatencyTarget / 4 // nothing tells; a quarter lies between a prompt and a patient caller
 	}
 	r.target = math.Min(r.arrived+meth.LatencyTarget+meth.Stretch*ev.Hint-age, r.due)
+	hasty := !c.tells && ev.Hint > 0 && r.arrived+c.habits[ev.Caller].wait() < c.now+c.est(&r)
 	r.value = meth.Criticality
 	if ev.Customer < len(c.shares) {
 		in := c.shares[ev.Customer].within(c.now, ev.Retry)
@@ -182,25 +184,25 @@
 	switch {
 	case late:
 		c.push(i, c.retry, false)
-		return
 	case !c.ramp.takes(c.now, ev.Caller, ev.Subject, ev.RPC):
 		c.push(i, math.Min(rampRetry, c.retry), false)
-		return
+	case hasty:
+		c.push(i, 0, false)
 	case !c.pressure.takes(c.chance, r.rank) || !c.feasible(&r) || !c.room(&r):
 		c.signal.shed++
 		c.shed(i)
-		return
-	}
-	if meth.Repeat == Tokened {
-		// Remembered before it runs, for the whole window counted from its arrival here.
-		life := math.Max(meth.Window-ev.Waited, c.node.Tick)
-		c.keys.drop(ev.RPC, c.now)
-		c.keys.list = append(c.keys.list, key{ev.RPC, c.now + life, c.now + life + meth.Deadline})
-		c.in.rpc[i].kept = true
-		c.do(Action{Do: Remember, RPC: ev.RPC, Time: life})
+	default:
+		if meth.Repeat == Tokened {
+			// Remembered before it runs, for the whole window counted from its arrival here.
+			life := math.Max(meth.Window-ev.Waited, c.node.Tick)
+			c.keys.drop(ev.RPC, c.now)
+			c.keys.list = append(c.keys.list, key{ev.RPC, c.now + life, c.now + life + meth.Deadline})
+			c.in.rpc[i].kept = true
+			c.do(Action{Do: Remember, RPC: ev.RPC, Time: life})
+		}
+		c.in.rpc[i].long = c.est(&r) > longFactor*c.usual()
+		c.hold.add(c.in.rpc, i)
 	}
-	c.in.rpc[i].long = c.est(&r) > longFactor*c.usual()
-	c.hold.add(c.in.rpc, i)
 }
 
 // rampRetry is the advice that goes with a refusal of the ramp: short, as the caller should ask others at
@@ -312,27 +314,12 @@
 	case held:
 		c.hold.remove(i, r.long)
 	case running:
-		c.off(i)
+		c.active--
 	}
 	c.used -= r.kb
 	c.in.drop(i)
 }
 
-// off and on book that a run leaves the cores, or comes to them.
-func (c *Control) off(i int) { c.count(i, -1) }
-
-func (c *Control) on(i int) {
-	c.count(i, 1)
-	c.in.rpc[i].state = running
-}
-
-func (c *Control) count(i, n int) {
-	c.active += n
-	if c.in.rpc[i].long {
-		c.longRuns += n
-	}
-}
-
 // shed pushes an RPC back for overload. A marked further try has met another full server before this one:
 // its caller is asked not to go on, or each read of it costs one more server.
 func (c *Control) shed(i int) {
@@ -395,6 +382,9 @@
 // left hears that a caller no longer waits.
 func (c *Control) left(i int) {
 	r := &c.in.rpc[i]
+	h := c.habits[r.caller]
+	h.left(c.now - r.arrived)
+	c.habits[r.caller] = h
 	r.answered = true
 	switch r.state {
 	case running, standing, calling:
@@ -412,6 +402,9 @@
 		c.calls.done(c.now, c.now-r.stood, TimedOut)
 	}
 	c.limit.ends++
+	if !r.answered && c.now-r.arrived > 1.3*c.habits[r.caller].mean {
+		delete(c.habits, r.caller) // this one waited longer
+	}
 	if ev.Outcome == OK && r.state == running {
 		spent := ev.Spent - r.below
 		c.pace[r.method].learn(spent, r.work, r.below)
@@ -433,8 +426,7 @@
 	}
 	if m.SkipShare > 0 && (left < c.calls.usual || r.tries >= 2) {
 		c.do(Action{Do: Skip, RPC: r.id})
-		r.below += c.now - r.stood
-		c.on(i)
+		c.resume(r)
 		return
 	}
 	if left <= 0 || r.tries >= 3 {
@@ -452,6 +444,13 @@
 	c.do(Action{Do: Call, RPC: r.id, Time: left})
 }
 
+// resume books that an RPC is back from its call.
+func (c *Control) resume(r *rpc) {
+	r.below += c.now - r.stood
+	r.state = running
+	c.active++
+}
+
 // called hears the end of a call.
 func (c *Control) called(i int, ev *Event) {
 	r := &c.in.rpc[i]
@@ -459,8 +458,7 @@
 	r.state = standing
 	switch {
 	case ev.Outcome == OK:
-		r.below += c.now - r.stood
-		c.on(i)
+		c.resume(r)
 	case c.methods[r.method].Repeat != Idempotent && ev.Outcome != Full && ev.Outcome != Unreachable:
 		c.abort(i) // an effect below is not asked for again unless the call before is known not to have run
 	}
@@ -528,11 +526,13 @@
 // pump runs what the run limit and the memory have room for.
 func (c *Control) pump() {
 	const share = 0.95 // of the memory; the rest is for reads that nobody can turn away unread
-	for c.active+c.stuck() < c.limit.runs() {
-		i := c.hold.next(c.in.rpc, c.longRuns, c.limit.runs())
-		if i < 0 {
+	for c.hold.n > 0 {
+		runs := c.limit.runs()
+		long, stuck := c.crowd()
+		if c.active+stuck >= runs {
 			return
 		}
+		i := c.hold.next(c.in.rpc, long, runs)
 		r := &c.in.rpc[i]
 		more := r.heldKB * (c.node.RunFactor - 1)
 		if c.used+more+c.keys.used(c.now) > share*c.node.MemKB {
@@ -546,20 +546,23 @@
 		c.used += more
 		r.kb += more
 		r.began = c.now
-		c.on(i)
+		r.state = running
+		c.active++
 		c.do(Action{Do: Run, RPC: r.id})
 	}
 }
 
-// stuck counts the RPCs that wait for room below. They take the places of runs: what is started beside
-// them would only come to stand there too, its work on the cores lost.
-func (c *Control) stuck() (n int) {
+// crowd counts long runs, and the RPCs that wait for room below. These take the places of runs: what is
+// started beside them would only come to stand there too, its work on the cores lost.
+func (c *Control) crowd() (long, stuck int) {
 	for i := range c.in.rpc {
-		if r := &c.in.rpc[i]; r.state == standing && !r.answered {
-			n++
+		if r := &c.in.rpc[i]; r.state == running && r.long {
+			long++
+		} else if r.state == standing && !r.answered {
+			stuck++
 		}
 	}
-	return n
+	return long, stuck
 }
 
 // ramp is the rising share of callers that a cold server takes.
@@ -719,12 +722,10 @@
 	}
 }
 
-// next is the RPC to run next, or -1. Long work gets at most half of the runs while short work waits.
+// next is the RPC to run next. Long work gets at most half of the runs while short work waits.
 func (h *hold) next(in []rpc, longRuns, runs int) int {
 	short, long := h.line[0], h.line[1]
 	switch {
-	case h.n == 0:
-		return -1
 	case len(short) == 0:
 		return long[0]
 	case len(long) > 0 && 2*longRuns < runs && in[long[0]].target < in[short[0]].target:
@@ -924,6 +925,30 @@
 	}
 }
 
+// habit is how long a caller waits for one try where nothing tells it. An impatient caller is gone before
+// heavy work ends, which then runs for nobody and runs again elsewhere; it is better sent on at once to a
+// server that may be quicker. A client that left once for its own reasons shows no habit.
+type habit struct {
+	mean   float64
+	spread float64
+}
+
+func (h *habit) left(age float64) {
+	const weight = 0.4 // three tries left alike make a habit, and it is soon unlearnt
+	if h.mean == 0 {
+		h.mean, h.spread = age, age/2
+	}
+	h.mean += weight * (age - h.mean)
+	h.spread += weight * (math.Abs(age-h.mean) - h.spread)
+}
+
+func (h habit) wait() float64 {
+	if h.mean == 0 || h.spread > 0.2*h.mean {
+		return math.Inf(1)
+	}
+	return h.mean
+}
+
 // drain is the time to leave.
 type drain struct {
 	on    bool
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -360,6 +360,49 @@
 	}
 }
 
+// A caller that leaves its tries after 800 ms can't be served what takes longer; it is sent on at once.
+func TestImpatientCaller(t *testing.T) {
+	cases := []struct {
+		name string
+		ages []float64
+		out  bool
+	}{
+		{"three tries left alike", []float64{800, 820, 810, 800}, true},
+		{"left for reasons of their own", []float64{800, 100, 1500, 300}, false},
+		{"none left", nil, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := plain()
+			s.fleet.TellsTime = false
+			s.methods[0].LatencyTarget, s.methods[0].Deadline = 2000, 5000
+			w := start(t, s)
+			id := uint32(1)
+			for range 30 { // a unit of work takes two
+				w.arrive(id, Event{Hint: 100})
+				w.now += 200
+				w.end(id, OK, 200)
+				id++
+			}
+			for _, age := range c.ages {
+				w.arrive(id, Event{Hint: 800})
+				w.now += age
+				w.ev(Event{Kind: Left, RPC: id})
+				w.end(id, OK, 1600)
+				id++
+			}
+			w.arrive(id, Event{Hint: 800})
+			if _, out := w.final[id]; out != c.out {
+				t.Errorf("pushed back: %v", out)
+			}
+			w.arrive(id+1, Event{Hint: 100})
+			if _, out := w.final[id+1]; out {
+				t.Error("short work pushed back")
+			}
+		})
+	}
+}
+
 func callers() site {
 	s := plain()
 	s.methods[0].Calls = true
--- a/control/slab.go
+++ b/control/slab.go
@@ -28,6 +28,7 @@
 	stood    float64 // when it came to stand at its call
 	long     bool
 	kept     bool // its token is remembered
+	caller   uint16
 	again    bool // marked as a further try
 	answered bool
 	value    float64 // criticality that it counts for
