--- a/control/control.go
+++ b/control/control.go
@@ -91,8 +91,8 @@
 	switch ev.Kind {
 	case Begin:
 		c.ramp.begin, c.limit.begin = now, now
-		c.do(Action{Do: Health, Good: true})
-		c.arm()
+		c.wake = now + period
+		c.do(Action{Do: Health, Good: true}, Action{Do: Arm, Time: c.wake})
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
@@ -132,17 +132,13 @@
 	c.do(Action{Do: Note, Text: yes})
 }
 
-func (c *Control) arm() {
-	c.wake = c.now + period
-	c.do(Action{Do: Arm, Time: c.wake})
-}
-
 // arrive decides on an RPC that has just been read.
 func (c *Control) arrive(ev *Event) {
 	m := min(ev.Method, len(c.methods)-1)
 	meth := &c.methods[m]
 	r := rpc{
-		id: ev.RPC, state: held, method: m, arrived: c.now - ev.Waited, work: ev.Hint, again: ev.Retry, caller: ev.Caller,
+		id: ev.RPC, state: held, method: m, caller: ev.Caller, again: ev.Retry,
+		arrived: c.now - ev.Waited, work: ev.Hint, value: meth.Criticality,
 		heldKB: ev.HeldKB, kb: ev.HeldKB,
 	}
 	if ev.Hint == 0 {
@@ -157,7 +153,6 @@
 	}
 	r.target = math.Min(r.arrived+meth.LatencyTarget+meth.Stretch*ev.Hint-age, r.due)
 	hasty := !c.tells && ev.Hint > 0 && r.arrived+c.habits[ev.Caller].wait() < c.now+c.est(&r)
-	r.value = meth.Criticality
 	if ev.Customer < len(c.shares) {
 		in := c.shares[ev.Customer].within(c.now, ev.Retry)
 		r.value *= in + (1-in)*c.overShare
@@ -491,7 +486,8 @@
 	for i := range c.in.rpc {
 		c.review(i)
 	}
-	c.arm()
+	c.wake = c.now + period
+	c.do(Action{Do: Arm, Time: c.wake})
 }
 
 // review answers an RPC that is due or can no longer be ok in time.
@@ -601,7 +597,7 @@
 		p.warm = true
 		return true
 	}
-	h := mix(uint64(caller) ^ p.salt)
+	h := mix(uint64(caller) ^ p.salt) // salted, lest successors all shut out the same callers
 	if p.parts > 1 {
 		if subject == 0 {
 			subject = uint64(id)
@@ -611,15 +607,6 @@
 	return float64(h%100) <= p.most
 }
 
-// mix is the finalizer of splitmix64. The instance's own salt goes in, so that successors started
-// together do not all shut out the same callers.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // pressure is the loop that sets the share of arrivals taken.
 type pressure struct {
 	share float64
@@ -807,28 +794,38 @@
 	return int(math.Max(math.Ceil(l.cores/3), math.Round(n)))
 }
 
-// pace learns how long the runs of a method take for each unit of expected work.
+// pace learns how long the runs of a method take, and how far their hints tell it.
 type pace struct {
 	spent float64
 	work  float64
 	runs  float64
 	below float64 // mean time at calls
 	prior float64
+	both  float64 // covariance of run time and hint, each over its mean
+	hint  float64 // variance of the hint over its mean
 }
 
-func newPace(target float64) pace { return pace{prior: target / 6} }
+// newPace starts with a sixth of the latency target, until the first run ends, and trusts hints in full.
+func newPace(target float64) pace { return pace{prior: target / 6, both: 0.5, hint: 0.5} }
 
 func (p *pace) learn(spent, work, below float64) {
-	const keep = 0.95 // twenty runs of memory: a second or two of traffic, so that a change of speed is seen
+	const (
+		keep = 0.95 // twenty runs of memory: a second or two of traffic, so that a change of speed is seen
+		long = 0.98 // fifty for what hints are good for, which no speed changes
+	)
 	p.spent, p.work, p.runs = p.spent*keep+spent, p.work*keep+work, p.runs*keep+1
 	p.below += (1 - keep) * (below - p.below)
+	s, w := spent*p.runs/p.spent-1, work*p.runs/p.work-1
+	p.both, p.hint = p.both*long+(1-long)*s*w, p.hint*long+(1-long)*w*w
 }
 
+// run is the run time to expect. Rough hints overrate what they call heavy, so it is drawn to the mean.
 func (p *pace) run(work float64) float64 {
 	if p.runs < 1 {
 		return p.prior
 	}
-	return work * p.spent / p.work
+	trust := math.Max(0.3, math.Min(1, p.both/p.hint))
+	return p.spent / p.runs * (1 - trust + trust*work*p.runs/p.work)
 }
 
 // share measures how much of a customer's traffic lies within this server's part of its quota.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -403,6 +403,30 @@
 	}
 }
 
+// Hints that say little must not have heavy-looking work pushed back that is not.
+func TestRoughHints(t *testing.T) {
+	cases := []struct {
+		name      string
+		took      func(hint float64) float64
+		low, most float64 // expected of a hint of 400, the mean being 200
+	}{
+		{"good", func(h float64) float64 { return 2 * h }, 700, 900},
+		{"worthless", func(float64) float64 { return 400 }, 350, 550},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPace(1000)
+			for i := range 300 {
+				hint := 100 + 200*float64(i%2)
+				p.learn(c.took(hint), hint, 0)
+			}
+			if e := p.run(400); e < c.low || e > c.most {
+				t.Errorf("%v expected", e)
+			}
+		})
+	}
+}
+
 func callers() site {
 	s := plain()
 	s.methods[0].Calls = true
