Let estimates learnt in a hang fade

A test showed it: after a hang in which a hundred runs were given up at their deadline the expected run time stood above the latency target, so nothing was tried and nothing learnt again. With no run ended for two seconds high estimates now halve every two.

--- a/control/api.go
+++ b/control/api.go
@@ -74,11 +74,9 @@
 	ByWork        bool    // criticality counts for each unit of work, not for each RPC
 }
 
-// Below is the layer that RPCs call while they run.
+// Below is the layer that RPCs call while they run, if the whole fleet shares it; else all is zero.
 type Below struct {
-	Shared bool    // one dependency for the whole fleet, else a tier of servers or nothing
-	Share  float64 // shared: mean number of calls in hand that this node may have
-	Over   float64 // the time over which that mean is taken
+	Share  float64 // mean number of calls in hand that this node may have
 	Linger float64 // an abandoned call stays in hand this long
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -64,7 +64,7 @@
 		pressure:  pressure{share: 1, late: make([]float64, len(methods))},
 		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
 		keys:      keys{kb: node.KeyKB},
-		calls:     newCalls(below.Shared, below.Share, below.Linger),
+		calls:     newCalls(below.Share, below.Linger),
 		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
 		habits:    map[uint16]habit{},
@@ -195,7 +195,9 @@
 			c.in.rpc[i].kept = true
 			c.do(Action{Do: Remember, RPC: ev.RPC, Time: life})
 		}
-		c.in.rpc[i].long = c.est(&r) > longFactor*c.usual()
+		if c.est(&r) > longFactor*c.usual() {
+			c.in.rpc[i].line = long
+		}
 		c.hold.add(c.in.rpc, i)
 	}
 }
@@ -281,11 +283,6 @@
 	return w < left*patience(r.rank)
 }
 
-// places is how many RPCs the server can have in hand and still answer in time.
-func (c *Control) places() float64 {
-	return float64(c.limit.runs()) * (1 + c.tightest/2/c.usual())
-}
-
 // away is the advice that goes with an overload's pushback: until the hold has drained.
 func (c *Control) away() float64 {
 	return math.Min(c.retry, math.Max(c.wait(math.Inf(1)), rampRetry))
@@ -307,7 +304,7 @@
 	r := &c.in.rpc[i]
 	switch r.state {
 	case held:
-		c.hold.remove(i, r.long)
+		c.hold.remove(i, r.line)
 	case running:
 		c.active--
 	}
@@ -377,9 +374,7 @@
 // left hears that a caller no longer waits.
 func (c *Control) left(i int) {
 	r := &c.in.rpc[i]
-	h := c.habits[r.caller]
-	h.left(c.now - r.arrived)
-	c.habits[r.caller] = h
+	c.habits[r.caller] = c.habits[r.caller].left(c.now - r.arrived)
 	r.answered = true
 	switch r.state {
 	case running, standing, calling:
@@ -480,12 +475,16 @@
 		c.do(Action{Do: Health, Good: c.health.good})
 		c.note(c.health.good, "health: good again", "health: no, arrivals wait unread past the latency target")
 	}
-	if v, say := c.signal.step(c.now, c.places()); say {
+	inTime := float64(c.limit.runs()) * (1 + c.tightest/2/c.usual()) // RPCs in hand that can still be ok
+	if v, say := c.signal.step(c.now, inTime); say {
 		c.do(Action{Do: Tell, Value: v})
 	}
 	for i := range c.in.rpc {
 		c.review(i)
 	}
+	for i := range c.pace {
+		c.pace[i].fade()
+	}
 	c.wake = c.now + period
 	c.do(Action{Do: Arm, Time: c.wake})
 }
@@ -524,11 +523,11 @@
 	const share = 0.95 // of the memory; the rest is for reads that nobody can turn away unread
 	for c.hold.n > 0 {
 		runs := c.limit.runs()
-		long, stuck := c.crowd()
+		longRuns, stuck := c.crowd()
 		if c.active+stuck >= runs {
 			return
 		}
-		i := c.hold.next(c.in.rpc, long, runs)
+		i := c.hold.next(c.in.rpc, longRuns, runs)
 		r := &c.in.rpc[i]
 		more := r.heldKB * (c.node.RunFactor - 1)
 		if c.used+more+c.keys.used(c.now) > share*c.node.MemKB {
@@ -538,7 +537,7 @@
 			c.shed(i)
 			continue
 		}
-		c.hold.remove(i, r.long)
+		c.hold.remove(i, r.line)
 		c.used += more
 		r.kb += more
 		r.began = c.now
@@ -550,15 +549,15 @@
 
 // crowd counts long runs, and the RPCs that wait for room below. These take the places of runs: what is
 // started beside them would only come to stand there too, its work on the cores lost.
-func (c *Control) crowd() (long, stuck int) {
+func (c *Control) crowd() (longRuns, stuck int) {
 	for i := range c.in.rpc {
-		if r := &c.in.rpc[i]; r.state == running && r.long {
-			long++
+		if r := &c.in.rpc[i]; r.state == running && r.line == long {
+			longRuns++
 		} else if r.state == standing && !r.answered {
 			stuck++
 		}
 	}
-	return long, stuck
+	return longRuns, stuck
 }
 
 // ramp is the rising share of callers that a cold server takes.
@@ -682,15 +681,8 @@
 	n    int
 }
 
-func (h *hold) of(long bool) *[]int {
-	if long {
-		return &h.line[1]
-	}
-	return &h.line[0]
-}
-
 func (h *hold) add(in []rpc, i int) {
-	l := h.of(in[i].long)
+	l := &h.line[in[i].line]
 	*l = append(*l, i)
 	h.n++
 	for k := len(*l) - 1; k > 0 && in[(*l)[k]].target < in[(*l)[k-1]].target; k-- {
@@ -698,8 +690,8 @@
 	}
 }
 
-func (h *hold) remove(i int, long bool) {
-	l := h.of(long)
+func (h *hold) remove(i, line int) {
+	l := &h.line[line]
 	for k, j := range *l {
 		if j == i {
 			*l = append((*l)[:k], (*l)[k+1:]...)
@@ -711,14 +703,14 @@
 
 // next is the RPC to run next. Long work gets at most half of the runs while short work waits.
 func (h *hold) next(in []rpc, longRuns, runs int) int {
-	short, long := h.line[0], h.line[1]
+	light, heavy := h.line[short], h.line[long]
 	switch {
-	case len(short) == 0:
-		return long[0]
-	case len(long) > 0 && 2*longRuns < runs && in[long[0]].target < in[short[0]].target:
-		return long[0]
+	case len(light) == 0:
+		return heavy[0]
+	case len(heavy) > 0 && 2*longRuns < runs && in[heavy[0]].target < in[light[0]].target:
+		return heavy[0]
 	}
-	return short[0]
+	return light[0]
 }
 
 // runLimit is how many RPCs run at once, calls not counted: just enough to keep the cores busy.
@@ -801,6 +793,7 @@
 	runs  float64
 	below float64 // mean time at calls
 	prior float64
+	idle  float64 // time since a run ended
 	both  float64 // covariance of run time and hint, each over its mean
 	hint  float64 // variance of the hint over its mean
 }
@@ -811,12 +804,21 @@
 func (p *pace) learn(spent, work, below float64) {
 	const (
 		keep = 0.95 // twenty runs of memory: a second or two of traffic, so that a change of speed is seen
-		long = 0.98 // fifty for what hints are good for, which no speed changes
+		slow = 0.98 // fifty for what hints are good for, which no speed changes
 	)
 	p.spent, p.work, p.runs = p.spent*keep+spent, p.work*keep+work, p.runs*keep+1
 	p.below += (1 - keep) * (below - p.below)
+	p.idle = 0
 	s, w := spent*p.runs/p.spent-1, work*p.runs/p.work-1
-	p.both, p.hint = p.both*long+(1-long)*s*w, p.hint*long+(1-long)*w*w
+	p.both, p.hint = p.both*slow+(1-slow)*s*w, p.hint*slow+(1-slow)*w*w
+}
+
+// fade lets a high estimate fall by half in two seconds, once no run has ended for as long: what
+// was learnt in a hang must not keep a method from ever being tried again.
+func (p *pace) fade() {
+	if p.idle += period; p.idle > 2000 && p.spent/math.Max(1, p.runs)+p.below > 3*p.prior {
+		p.spent, p.below = 0.98*p.spent, 0.98*p.below
+	}
 }
 
 // run is the run time to expect. Rough hints overrate what they call heavy, so it is drawn to the mean.
@@ -870,10 +872,7 @@
 	rest   float64   // a share under one call is kept by a pause after each
 }
 
-func newCalls(shared bool, share, linger float64) calls {
-	if !shared {
-		share = 0
-	}
+func newCalls(share, linger float64) calls {
 	return calls{share: share, most: share, linger: linger}
 }
 
@@ -930,13 +929,14 @@
 	spread float64
 }
 
-func (h *habit) left(age float64) {
+func (h habit) left(age float64) habit {
 	const weight = 0.4 // three tries left alike make a habit, and it is soon unlearnt
 	if h.mean == 0 {
 		h.mean, h.spread = age, age/2
 	}
 	h.mean += weight * (age - h.mean)
 	h.spread += weight * (math.Abs(age-h.mean) - h.spread)
+	return h
 }
 
 func (h habit) wait() float64 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -427,6 +427,23 @@
 	}
 }
 
+// After a hang in which every run is given up, the server must take RPCs again.
+func TestHangIsForgotten(t *testing.T) {
+	s := plain()
+	w := start(t, s)
+	full := Gauges{OnCores: 2, CoreUse: 1}
+	for id := uint32(1); id <= 100; id++ {
+		w.arrive(id, Event{})
+		w.until(w.now+3000, full)
+		w.end(id, Error, 3000)
+	}
+	w.until(w.now+30000, Gauges{})
+	w.arrive(200, Event{})
+	if w.runs[200] != 1 {
+		t.Errorf("not run half a minute after a hang; %v expected", w.c.pace[0].run(1))
+	}
+}
+
 func callers() site {
 	s := plain()
 	s.methods[0].Calls = true
@@ -477,7 +494,7 @@
 	}{{"whole", 3.7, 3}, {"under one", 0.5, 1}}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			k := newCalls(true, c.share, 200)
+			k := newCalls(c.share, 200)
 			n := 0
 			for k.take(0) {
 				n++
@@ -501,7 +518,7 @@
 
 // A crowded dependency stays crowded; fewer calls stand there until it is quick again.
 func TestCallsMakeWayForASlowDependency(t *testing.T) {
-	k := newCalls(true, 20, 200)
+	k := newCalls(20, 200)
 	play := func(n int, spent float64) float64 {
 		for range n {
 			k.take(0)
--- a/control/slab.go
+++ b/control/slab.go
@@ -12,6 +12,12 @@
 	joined         // waits for the RPC that it repeats
 )
 
+// The two lines of the hold.
+const (
+	short = iota
+	long
+)
+
 // rpc is one RPC in hand. It stays until its run is over, even when it has been answered.
 type rpc struct {
 	id       uint32
@@ -26,8 +32,8 @@
 	began    float64 // start of its run
 	below    float64 // time spent at calls so far
 	stood    float64 // when it came to stand at its call
-	long     bool
-	kept     bool // its token is remembered
+	line     int     // of the hold: short or long
+	kept     bool    // its token is remembered
 	caller   uint16
 	again    bool // marked as a further try
 	answered bool
--- a/internal/simwire/opening.go
+++ b/internal/simwire/opening.go
@@ -61,7 +61,6 @@
 			ByWork:        l.value["value_by"] == "work",
 		},
 		Below: control.Below{
-			Shared: l.value["family_info.below"] == "shared",
 			Share:  l.num("family_info.call_share", 0),
 			Linger: l.ms("family_info.linger", 0),
 		},
@@ -89,6 +88,9 @@
 	if v, told := l.value["limits.retry_after"]; told && v != "true" {
 		o.Fleet.MaxRetryAfter = 0
 	}
+	if l.value["family_info.below"] != "shared" {
+		o.Below.Share = 0
+	}
 	calls := strings.Split(l.value["family_info.class_calls"], ",")
 	for i := range l.count("classes") {
 		o.Methods = append(o.Methods, l.method(i, calls))
