--- a/control/control.go
+++ b/control/control.go
@@ -283,9 +283,10 @@
 	return w < left*patience(r.rank)
 }
 
-// away is the advice that goes with an overload's pushback: until the hold has drained.
+// away is the advice that goes with an overload's pushback: until half the hold has drained. Callers that
+// stay away until all has find idle cores, and come back together.
 func (c *Control) away() float64 {
-	return math.Min(c.retry, math.Max(c.wait(math.Inf(1)), rampRetry))
+	return math.Min(c.retry, math.Max(c.wait(math.Inf(1))/2, rampRetry))
 }
 
 // room tells whether memory allows to hold an RPC just read, with its token. What is held must still be
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -163,6 +163,18 @@
 	}
 }
 
+// Callers told to stay away until the hold is empty would leave the cores idle.
+func TestAdviceEndsBeforeTheHoldIsEmpty(t *testing.T) {
+	w := start(t, plain())
+	for id := uint32(1); id <= 50; id++ {
+		w.arrive(id, Event{})
+	}
+	all := w.c.wait(1e9)
+	if a := w.last[0]; a.Do != PushBack || a.Time >= all || a.Time < rampRetry {
+		t.Errorf("pushed back with %+v while the hold takes %v", a, all)
+	}
+}
+
 func TestCriticalGetsInWhenOthersDoNot(t *testing.T) {
 	s := plain()
 	s.methods = append(s.methods, Method{Name: "pay", LatencyTarget: 1000, Deadline: 3000, Criticality: 4})
