--- a/control/control.go
+++ b/control/control.go
@@ -166,7 +166,8 @@
 	// A repeat of a remembered RPC is joined: it must neither run again nor, once any try has run, be
 	// pushed back. An original never seen here (two tries of one batch name each other) is no reason to
 	// join: the first is taken.
-	if ev.Original != 0 && c.known(ev.Original, meth) {
+	_, inHand := c.in.byID[ev.Original]
+	if ev.Original != 0 && (inHand || c.keys.knows(ev.Original)) {
 		if late || !c.room(&r) {
 			c.abort(i)
 			return
@@ -219,14 +220,6 @@
 	return t / n
 }
 
-// known tells whether the original of a repeat is in hand or has been remembered and not dropped unrun.
-func (c *Control) known(id uint32, m *Method) bool {
-	if i, ok := c.in.byID[id]; ok {
-		return m.Repeat != Tokened || c.in.rpc[i].kept || c.in.rpc[i].state != held
-	}
-	return c.keys.knows(id)
-}
-
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
@@ -284,9 +277,14 @@
 }
 
 // away is the advice that goes with an overload's pushback: until half the hold has drained. Callers that
-// stay away until all has find idle cores, and come back together.
-func (c *Control) away() float64 {
-	return math.Min(c.retry, math.Max(c.wait(math.Inf(1))/2, rampRetry))
+// stay away until all has find idle cores, and come back together. Further tries, which a storm is made of,
+// stay away for what waits unread as well.
+func (c *Control) away(again bool) float64 {
+	w := c.wait(math.Inf(1)) / 2
+	if again {
+		w += c.limit.unread * c.tightest
+	}
+	return math.Min(c.retry, math.Max(w, rampRetry))
 }
 
 // room tells whether memory allows to hold an RPC just read, with its token. What is held must still be
@@ -316,7 +314,8 @@
 // shed pushes an RPC back for overload. A marked further try has met another full server before this one:
 // its caller is asked not to go on, or each read of it costs one more server.
 func (c *Control) shed(i int) {
-	c.push(i, c.away(), c.in.rpc[i].again)
+	again := c.in.rpc[i].again
+	c.push(i, c.away(again), again)
 }
 
 // push pushes a held RPC back; it never ran.
