--- a/control/control.go
+++ b/control/control.go
@@ -203,7 +203,7 @@
 	}
 }
 
-// rampRetry is the advice that goes with a refusal of the ramp: short, as the caller should ask others at
+// rampRetry is the advice that goes with a pushback by the ramp: short, as the caller should ask others at
 // once.
 const rampRetry = 100.0
 
@@ -575,7 +575,7 @@
 const finest = 20
 
 // slowest makes the ramp's length of the longest warm-up told: most servers are warm well before, and
-// what the ramp refuses the rest of a fleet that is being replaced must serve.
+// what the ramp pushes back the rest of a fleet that is being replaced must run.
 const slowest = 0.5
 
 func newRamp(cold bool, warmBy float64, callers int, salt uint64) ramp {
@@ -613,13 +613,13 @@
 	next  float64
 }
 
-// aimPart is the part of the latency target that the latency of runs is held to: the rest is for the way
+// targetPart is the part of the latency target that the latency of runs is held to: the rest is for the way
 // and for the spread about the mean.
-const aimPart = 0.7
+const targetPart = 0.7
 
 func (p *pressure) learn(m int, latency, target float64) {
 	const weight = 0.1 // about ten runs of memory, some seconds of one method's traffic
-	p.late[m] += weight * (latency/(aimPart*target) - p.late[m])
+	p.late[m] += weight * (latency/(targetPart*target) - p.late[m])
 }
 
 // step moves the share ten times a second or less, and tells whether a cut began or ended.
@@ -763,7 +763,7 @@
 // runs is the limit. The crowd that kills is told; it is kept to well under that, the less while cold.
 func (l *runLimit) runs() int {
 	const (
-		safe = 0.7 // part of the crowd that kills: all may come back from disk at once, and some from calls
+		most = 0.7 // part of the crowd that kills: all may come back from disk at once, and some from calls
 		few  = 0.1 // of the tightest latency target: waits unread up to this are no flood
 	)
 	speed := 1.0
@@ -774,7 +774,7 @@
 	if l.onCore < 0.95 {
 		per = l.busy / l.onCore
 	}
-	per = math.Min(per, safe*(1+(l.ceiling-1)*speed))
+	per = math.Min(per, most*(1+(l.ceiling-1)*speed))
 	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread
 	// waits for seconds and is too old when it is read. The dearer a read is next to a run the less: at
 	// a quarter, reading faster only to push back more loses what it should save.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -372,7 +372,7 @@
 	}
 }
 
-// A caller that leaves its tries after 800 ms can't be served what takes longer; it is sent on at once.
+// A caller that leaves its tries after 800 ms can't be given what takes longer; it is sent on at once.
 func TestImpatientCaller(t *testing.T) {
 	cases := []struct {
 		name string
@@ -468,7 +468,7 @@
 		repeat  Repeat
 		skip    float64
 		outcome Outcome
-		times   int // the call fails so often
+		times   int // the call ends so, this often
 		want    Do
 	}{
 		{"call of an idempotent RPC is made again", Idempotent, 0, TimedOut, 1, Call},
