Close the level while arrivals wait unread past the latency target

It could harm a fleet flooded as a whole, where it pushes the load to and fro; it ends with the wait. It should also help after stalls.

--- a/control/control.go
+++ b/control/control.go
@@ -203,8 +203,7 @@
 	}
 }
 
-// rampRetry is the advice that goes with a pushback by the ramp: short, as the caller should ask others at
-// once.
+// rampRetry is the advice with a pushback by the ramp: short, as others are to be asked at once.
 const rampRetry = 100.0
 
 // longFactor parts the two lines: work of more than this multiple of the usual is long. Half of all
@@ -476,7 +475,7 @@
 		c.note(c.health.good, "health: good again", "health: no, arrivals wait unread past the latency target")
 	}
 	inTime := float64(c.limit.runs()) * (1 + c.tightest/2/c.usual()) // RPCs in hand that can still be ok
-	if v, say := c.signal.step(c.now, inTime); say {
+	if v, say := c.signal.step(c.now, inTime, c.limit.unread); say {
 		c.do(Action{Do: Tell, Value: v})
 	}
 	for i := range c.in.rpc {
@@ -570,8 +569,7 @@
 	most   float64
 }
 
-// finest is the number of shares that the ramp wants at least: steps of a twentieth of the traffic at
-// most.
+// finest is the least number of shares: the ramp's steps are a twentieth of the traffic at most.
 const finest = 20
 
 // slowest makes the ramp's length of the longest warm-up told: most servers are warm well before, and
@@ -613,8 +611,7 @@
 	next  float64
 }
 
-// targetPart is the part of the latency target that the latency of runs is held to: the rest is for the way
-// and for the spread about the mean.
+// targetPart of the latency target is what runs may take in the mean: the rest is for the way and spread.
 const targetPart = 0.7
 
 func (p *pressure) learn(m int, latency, target float64) {
@@ -991,7 +988,7 @@
 
 // step moves the level so that what this server would push back for overload is not sent at all; a window
 // is what it can hold in time, over its callers.
-func (s *signal) step(now, inTime float64) (float64, bool) {
+func (s *signal) step(now, inTime, unread float64) (float64, bool) {
 	const (
 		pace  = 250.0
 		gain  = 0.1 // with a tenth more pushed back than allowed the level rises by a hundredth a step
@@ -1007,6 +1004,9 @@
 	if s.say == SayLevel {
 		s.level = math.Min(most, math.Max(0, s.level+gain*(float64(s.shed)/float64(max(1, s.seen))-allow)))
 		s.seen, s.shed, v, least = 0, 0, s.level, 0.01
+		if unread > 1 {
+			v = 1 // all that comes is too old when read; heard once, it holds a second or so
+		}
 	}
 	if math.Abs(v-s.told) < least {
 		return 0, false // too small a change to tell
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -175,6 +175,17 @@
 	}
 }
 
+// While all that arrives is too old when read, the level keeps everything away, and falls back at once after.
+func TestLevelWhileFlooded(t *testing.T) {
+	s := signal{say: SayLevel, callers: 4}
+	for i, c := range []struct{ unread, want float64 }{{0.1, 0}, {1.5, 1}, {0.1, 0}} {
+		s.seen, s.shed = 100, 0
+		if s.step(float64(i)*250, 10, c.unread); s.told != c.want {
+			t.Errorf("level %v with a wait of %v unread, want %v", s.told, c.unread, c.want)
+		}
+	}
+}
+
 func TestCriticalGetsInWhenOthersDoNot(t *testing.T) {
 	s := plain()
 	s.methods = append(s.methods, Method{Name: "pay", LatencyTarget: 1000, Deadline: 3000, Criticality: 4})
