--- a/control/api.go
+++ b/control/api.go
@@ -19,7 +19,6 @@
 	Window        float64 // tokened: a repeat may come this long after the arrival here
 	Criticality   float64
 	LateShare     float64 // what an answer between latency target and deadline keeps
-	Calls         bool    // its RPCs may call the layer below
 	SkipShare     float64 // what an answer made without its call keeps; 0 forbids the skip
 }
 
@@ -67,11 +66,9 @@
 	Peers         int     // servers of this tier, this one included
 	Callers       int     // callers of this tier
 	TellsTime     bool    // an RPC says how long its caller still waits
-	MarksRetry    bool    // further tries are marked
 	Say           Say     // how callers read the value that goes out with answers
 	MaxRetryAfter float64 // longest advice to stay away that is honoured; 0 when none is passed on
 	OverShare     float64 // what an RPC beyond its customer's share keeps of its criticality
-	ByWork        bool    // criticality counts for each unit of work, not for each RPC
 }
 
 // Below is the layer that RPCs call while they run, if the whole fleet shares it; else all is zero.
@@ -82,10 +79,8 @@
 
 // Rules are the figures of the four rules.
 type Rules struct {
-	Slack      float64 // an answer still counts this long after its due time
 	DrainGrace float64 // what arrives later than this after the notice is not run
 	Ceiling    float64 // RPCs on the cores, for each core, that a warm node survives
-	Over       float64 // in the mean of this time
 }
 
 // Kind tells what happened.
@@ -129,7 +124,6 @@
 	Waited   float64 // Arrive: since it reached the machine
 	Hint     float64 // Arrive: expected work on a standard core; 0 for none
 	HeldKB   float64 // Arrive: its memory while held
-	Rank     float64 // Arrive: its place in the order of criticality, 0 to 1
 	Retry    bool    // Arrive: marked as a further try
 	Outcome  Outcome // Ended, Called
 	Spent    float64 // Ended, Called: since the action that began it
@@ -141,8 +135,6 @@
 type Gauges struct {
 	CoreUse float64 // share of the cores busy over the last half second
 	OnCores float64 // all that wants a core now
-	Memory  float64 // share of memory in use
-	Conns   float64 // open connections
 }
 
 // Do tells what is to be done.
--- a/control/control.go
+++ b/control/control.go
@@ -161,7 +161,7 @@
 	c.limit.read(ev.Waited / c.tightest)
 	i := c.in.add(r)
 	c.used += r.kb
-	late := c.drain.on && r.arrived > c.drain.since+c.grace-c.node.Tick
+	late := c.drain.on && (r.arrived > c.drain.since+c.grace-c.node.Tick || c.now > c.drain.stop-2*period)
 
 	// A repeat of a remembered RPC is joined: it must neither run again nor, once any try has run, be
 	// pushed back. An original never seen here (two tries of one batch name each other) is no reason to
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -467,12 +467,6 @@
 	}
 }
 
-func callers() site {
-	s := plain()
-	s.methods[0].Calls = true
-	return s
-}
-
 func TestCalls(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -491,7 +485,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := callers()
+			s := plain()
 			s.methods[0].Repeat, s.methods[0].SkipShare, s.methods[0].Window = c.repeat, c.skip, 5000
 			w := start(t, s)
 			w.arrive(1, Event{})
@@ -576,6 +570,14 @@
 	if w.runs[1] != 1 || w.runs[2] != 1 || w.runs[3] != 0 || w.final[3] != PushBack {
 		t.Errorf("runs %v, final %v", w.runs, w.final)
 	}
+	w = start(t, tokened())
+	w.arrive(1, Event{Time: 9000})
+	w.ev(Event{Kind: Notice, Time: 1500})
+	w.now = 1470
+	w.arrive(2, Event{Original: 1, Time: 9000})
+	if w.final[2] != Abort || w.runs[2] != 0 {
+		t.Error("a repeat read just before the stop was not answered at once")
+	}
 	w = start(t, plain())
 	w.arrive(1, Event{Time: 9000})
 	w.ev(Event{Kind: Notice, Time: 2000})
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -18,7 +18,7 @@
 			Seed: 1, StartSpeed: 0.2, WarmBy: 20000, Cores: 2, MemKB: 10000, RunFactor: 10, KeyKB: 5, Tick: 4,
 		},
 		fleet:   Fleet{Peers: 1, Callers: 4, TellsTime: true, MaxRetryAfter: 1000, OverShare: 0.1},
-		rules:   Rules{Slack: 80, DrainGrace: 2000, Ceiling: 8, Over: 1500},
+		rules:   Rules{DrainGrace: 2000, Ceiling: 8},
 		methods: []Method{{Name: "get", LatencyTarget: 1000, Deadline: 3000, Criticality: 1}},
 	}
 }
--- a/internal/simwire/opening.go
+++ b/internal/simwire/opening.go
@@ -55,20 +55,16 @@
 			Peers:         max(1, int(l.num("replicas_of_me", 1))),
 			Callers:       max(1, int(l.num("family_info.callers", 1))),
 			TellsTime:     l.yes("family_info.passes_deadline"),
-			MarksRetry:    l.yes("client_habits.marks_retry"),
 			MaxRetryAfter: l.ms("limits.max_retry_after", 0),
 			OverShare:     l.num("over_share_worth", 1),
-			ByWork:        l.value["value_by"] == "work",
 		},
 		Below: control.Below{
 			Share:  l.num("family_info.call_share", 0),
 			Linger: l.ms("family_info.linger", 0),
 		},
 		Rules: control.Rules{
-			Slack:      l.ms("rules.answer_slack", 0),
 			DrainGrace: l.ms("rules.drain_grace", 0),
 			Ceiling:    l.num("rules.tip_multiple", 2),
-			Over:       l.ms("rules.fall", 1e9),
 		},
 	}
 	switch l.value["family_info.halt"] {
@@ -91,9 +87,8 @@
 	if l.value["family_info.below"] != "shared" {
 		o.Below.Share = 0
 	}
-	calls := strings.Split(l.value["family_info.class_calls"], ",")
 	for i := range l.count("classes") {
-		o.Methods = append(o.Methods, l.method(i, calls))
+		o.Methods = append(o.Methods, l.method(i))
 	}
 	if len(o.Methods) == 0 && l.bad == nil {
 		l.bad = fmt.Errorf("settings classes.count: at least 1 expected")
@@ -110,7 +105,7 @@
 	return o, l.bad
 }
 
-func (l *lines) method(i int, calls []string) control.Method {
+func (l *lines) method(i int) control.Method {
 	p := fmt.Sprintf("classes.%d.", i)
 	m := control.Method{
 		Name:          l.value[p+"name"],
@@ -119,7 +114,6 @@
 		Window:        l.ms(p+"window", 0),
 		Criticality:   l.num(p+"worth", 1),
 		LateShare:     l.num(p+"late_worth", 0),
-		Calls:         i < len(calls) && calls[i] == "true",
 		SkipShare:     l.item("family_info.worth_without", i),
 	}
 	m.Deadline = l.ms(p+"give_up", 2*m.LatencyTarget*nsPerMs)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -156,10 +156,6 @@
 				ev.Gauges.CoreUse = v
 			case "on_cores":
 				ev.Gauges.OnCores = v
-			case "heap_share":
-				ev.Gauges.Memory = v
-			case "links":
-				ev.Gauges.Conns = v
 			}
 		}
 	case evAsk:
@@ -168,7 +164,8 @@
 		ev.Method, ev.Customer = int(f.u16()), int(f.u16())
 		ev.Subject = f.u64()
 		ev.Time, ev.Hint = f.ms(), f.ms()
-		ev.HeldKB, ev.Rank = f.f32(), f.f32()
+		ev.HeldKB = f.f32()
+		f.f32() // the rank: decisions go by criticality and share
 		flags := f.u8()
 		if flags&1 == 0 {
 			ev.Hint = 0
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -57,7 +57,7 @@
 			want: []control.Event{
 				{
 					Kind: control.Arrive, RPC: 0x5d3a91c4, Subject: 0x91f03b7c55d20a64, Time: 240, Hint: 12,
-					HeldKB: 24.5, Rank: 0.625, Caller: 17, Waited: 1.85, Original: 0x0e6f2b19,
+					HeldKB: 24.5, Caller: 17, Waited: 1.85, Original: 0x0e6f2b19,
 				},
 				{Kind: control.Timer, Label: 77},
 				{Kind: control.Left, RPC: 0x0e6f2b19},
@@ -126,7 +126,7 @@
 
 const settings = "classes.count=1\nclasses.0.aim=1800000000\nclasses.0.give_up=4500000000\n" +
 	"classes.0.idempotency=idempotency_key\nclasses.0.window=5000000000\nfamily_info.halt=suspend\n" +
-	"family_info.class_calls=true\nfamily_info.cores=6\nnew.path=1\n"
+	"family_info.cores=6\nnew.path=1\n"
 
 func TestParseOpening(t *testing.T) {
 	cases := []struct{ name, text, bad string }{
@@ -150,7 +150,7 @@
 			}
 			m := o.Methods[0]
 			if m.LatencyTarget != 1800 || m.Deadline != 4500 || m.Repeat != control.Tokened || m.Window != 5000 ||
-				!m.Calls || o.Node.Cores != 6 || o.Node.Stop != control.StopPause || o.Fleet.Peers != 1 {
+				o.Node.Cores != 6 || o.Node.Stop != control.StopPause || o.Fleet.Peers != 1 {
 				t.Errorf("got %+v", o)
 			}
 		})
