--- a/control/control.go
+++ b/control/control.go
@@ -70,13 +70,12 @@
 		habits:    map[uint16]habit{},
 		pace:      make([]pace, len(methods)),
 		chance:    rand.New(rand.NewSource(int64(node.Seed))),
-		overShare: fleet.OverShare, tells: fleet.TellsTime,
+		overShare: fleet.OverShare, tells: fleet.TellsTime, tightest: math.Inf(1),
 	}
 	for i, m := range methods {
-		c.pace[i] = newPace(m.LatencyTarget)
-		if i == 0 || m.LatencyTarget < c.tightest {
-			c.tightest = m.LatencyTarget
-		}
+		target := math.Max(1, m.LatencyTarget)
+		c.pace[i] = newPace(target)
+		c.tightest = math.Min(c.tightest, target)
 	}
 	for _, cu := range customers {
 		c.shares = append(c.shares, newShare(cu.Quota, fleet.Peers))
@@ -803,6 +802,7 @@
 		keep = 0.95 // twenty runs of memory: a second or two of traffic, so that a change of speed is seen
 		slow = 0.98 // fifty for what hints are good for, which no speed changes
 	)
+	spent = math.Max(1, spent) // a run that took no time tells no speed
 	p.spent, p.work, p.runs = p.spent*keep+spent, p.work*keep+work, p.runs*keep+1
 	p.below += (1 - keep) * (below - p.below)
 	p.idle = 0
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -426,6 +426,26 @@
 	}
 }
 
+// Runs that take no time, or less than their calls, must not make estimates or signals no numbers.
+func TestRunsOfNoTime(t *testing.T) {
+	s := plain()
+	s.fleet.Say = SayWindow
+	w := start(t, s)
+	for id := uint32(1); id <= 50; id++ {
+		w.arrive(id, Event{Hint: 5})
+		w.end(id, OK, 0)
+		w.until(w.now+40, Gauges{})
+		for _, a := range w.last {
+			if a.Do == Tell && !(a.Value >= 1 && a.Value < 1e6) {
+				t.Fatalf("a window of %v", a.Value)
+			}
+		}
+		if e := w.c.est(&rpc{work: 5}); !(e > 0 && e < 1000) {
+			t.Fatalf("run time of %v expected", e)
+		}
+	}
+}
+
 // Hints that say little must not have heavy-looking work pushed back that is not.
 func TestRoughHints(t *testing.T) {
 	cases := []struct {
