--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,8 @@
 	now     float64
 	in      slab    // the RPCs in hand
 	wake    float64 // when the next timer should come
+	short   bool    // memory has kept something out since the last look
+	noted   [5]bool
 	used    float64 // memory of the RPCs in hand
 
 	ramp      ramp
@@ -124,13 +126,6 @@
 
 func (c *Control) do(a ...Action) { c.out = append(c.out, a...) }
 
-func (c *Control) note(is bool, yes, no string) {
-	if !is {
-		yes = no
-	}
-	c.do(Action{Do: Note, Text: yes})
-}
-
 // arrive decides on an RPC that has just been read.
 func (c *Control) arrive(ev *Event) {
 	m := min(ev.Method, len(c.methods)-1)
@@ -293,7 +288,9 @@
 	if c.methods[r.method].Repeat == Tokened {
 		token = c.keys.kb
 	}
-	return c.used+c.keys.used(c.now)+token < share*c.node.MemKB
+	fits := c.used+c.keys.used(c.now)+token < share*c.node.MemKB
+	c.short = c.short || !fits
+	return fits
 }
 
 // drop takes an RPC out of the slab.
@@ -466,13 +463,16 @@
 		c.ramp.begin += gap // a stall ran the clock without traffic: the ramp's does not count it
 	}
 	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
-	if c.pressure.step(c.now, g.CoreUse) {
-		c.note(c.pressure.share < 1, "pressure: share of arrivals cut", "pressure: all arrivals taken again")
-	}
+	c.pressure.step(c.now, g.CoreUse)
 	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
 		c.do(Action{Do: Health, Good: c.health.good})
-		c.note(c.health.good, "health: good again", "health: no, arrivals wait unread past the latency target")
 	}
+	c.note(0, !c.ramp.warm, "ramp: begins, a share of callers taken", "ramp: over, all callers taken")
+	c.note(1, c.pressure.share < 1, "pressure: share of arrivals cut", "pressure: all arrivals taken again")
+	c.note(2, !c.health.good, "health: no, arrivals wait unread past the latency target", "health: good again")
+	c.note(3, c.short, "memory: no room for more", "memory: room again")
+	c.note(4, 2*c.calls.most < c.calls.share, "calls: fewer in hand, slow below", "calls: as many as before")
+	c.short = false
 	inTime := float64(c.limit.runs()) * (1 + c.tightest/2/c.usual()) // RPCs in hand that can still be ok
 	if v, say := c.signal.step(c.now, inTime, c.limit.unread); say {
 		c.do(Action{Do: Tell, Value: v})
@@ -529,6 +529,7 @@
 		r := &c.in.rpc[i]
 		more := r.heldKB * (c.node.RunFactor - 1)
 		if c.used+more+c.keys.used(c.now) > share*c.node.MemKB {
+			c.short = true
 			return
 		}
 		if c.now+doubt*c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
@@ -618,18 +619,17 @@
 	p.late[m] += weight * (latency/(targetPart*target) - p.late[m])
 }
 
-// step moves the share ten times a second or less, and tells whether a cut began or ended.
-func (p *pressure) step(now, busy float64) bool {
+// step moves the share.
+func (p *pressure) step(now, busy float64) {
 	const (
 		pace = 200.0 // twice in the half second that the gauge covers
 		cut  = 0.95  // halves the share in under three seconds
 		rise = 0.02  // from a half to all in five
 	)
 	if now < p.next {
-		return false
+		return
 	}
 	p.next = now + pace
-	before := p.share
 	late := false
 	for _, l := range p.late {
 		late = late || l > 1
@@ -639,7 +639,6 @@
 	} else {
 		p.share = math.Min(1, p.share+rise)
 	}
-	return (before == 1) != (p.share == 1)
 }
 
 // takes tells whether an arrival is taken: the share cut is the lowest in rank, with a soft edge drawn by
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -32,6 +32,7 @@
 	runs  map[uint32]int
 	last  []Action // what the latest event brought
 	armed float64
+	notes []string
 }
 
 func start(t *testing.T, s site) *world {
@@ -57,6 +58,8 @@
 			w.final[a.RPC] = a.Do
 		case Arm:
 			w.armed = a.Time
+		case Note:
+			w.notes = append(w.notes, a.Text)
 		}
 	}
 	return w.last
