Let the ramp take a marked further try while nothing is held and a run is free

The smallest departure: only marked tries, only beside a free run. It could harm a cold server under a storm of tries; the run limit holds there.

--- a/control/control.go
+++ b/control/control.go
@@ -171,10 +171,11 @@
 		return
 	}
 	c.signal.seen++
+	idle := ev.Retry && c.hold.n == 0 && c.active < c.limit.runs() // others were full, here a run is free
 	switch {
 	case late:
 		c.push(i, c.retry, false)
-	case !c.ramp.takes(c.now, ev.Caller, ev.Subject, ev.RPC):
+	case !idle && !c.ramp.takes(c.now, ev.Caller, ev.Subject, ev.RPC):
 		c.push(i, math.Min(rampRetry, c.retry), false)
 	case hasty:
 		c.push(i, 0, false)
