--- a/control/control.go
+++ b/control/control.go
@@ -93,7 +93,7 @@
 	case Begin:
 		c.ramp.begin, c.limit.begin = now, now
 		c.wake = now + period
-		c.do(Action{Do: Health, Good: true}, Action{Do: Arm, Time: c.wake})
+		c.do(Action{Do: Health, Good: true}, Action{Do: IdleAfter, Time: 1000}, Action{Do: Arm, Time: c.wake})
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
