--- a/control/control.go
+++ b/control/control.go
@@ -219,7 +219,7 @@
 // at once, and the rest gets in.
 func patience(rank float64) float64 {
 	const (
-		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
+		least = 0.4 // the least valuable of all come in while runs are free, and hardly else
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
 	return least + (most-least)*rank
