--- a/control/control.go
+++ b/control/control.go
@@ -53,6 +53,7 @@
 	tightest  float64 // the tightest latency target
 	overShare float64
 	tells     bool
+	shedPart  float64
 }
 
 // New makes an instance for a server that is just starting.
@@ -171,6 +172,7 @@
 		return
 	}
 	c.signal.seen++
+	c.shedPart *= 1 - 1.0/32
 	idle := ev.Retry && c.hold.n == 0 && c.active < c.limit.runs() // others were full, here a run is free
 	switch {
 	case late:
@@ -181,6 +183,7 @@
 		c.push(i, 0, false)
 	case !c.pressure.takes(c.chance, r.rank) || !c.feasible(&r) || !c.room(&r):
 		c.signal.shed++
+		c.shedPart += 1.0 / 32
 		c.shed(i)
 	default:
 		if meth.Repeat == Tokened {
@@ -217,12 +220,16 @@
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
-func patience(rank float64) float64 {
+func patience(rank, shed float64) float64 {
 	const (
-		least = 0.4 // the least valuable of all come in while runs are free, and hardly else
+		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
+		mid   = 0.4
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
-	return least + (most-least)*rank
+	if rank < shed {
+		return least + (mid-least)*rank/shed
+	}
+	return mid + (most-mid)*(rank-shed)/(1.001-shed)
 }
 
 // est is the expected run time of an RPC without its calls.
@@ -267,7 +274,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	return w < left*patience(r.rank)
+	return w < left*patience(r.rank, c.shedPart)
 }
 
 // away is the advice that goes with an overload's pushback: until half the hold has drained. Callers that
