--- a/control/control.go
+++ b/control/control.go
@@ -220,14 +220,14 @@
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
-func patience(rank, shed float64) float64 {
+func patience(rank, shed, rel float64) float64 {
 	const (
 		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
 		mid   = 0.4
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
 	if rank < shed {
-		return least + (mid-least)*rank/shed
+		return least + (mid-least)*rel*rel
 	}
 	return mid + (most-mid)*(rank-shed)/(1.001-shed)
 }
@@ -274,7 +274,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	return w < left*patience(r.rank, c.shedPart)
+	return w < left*patience(r.rank, c.shedPart, math.Min(1, r.value/c.ranks.mean()))
 }
 
 // away is the advice that goes with an overload's pushback: until half the hold has drained. Callers that
@@ -1021,3 +1021,12 @@
 	s.told = v
 	return v, true
 }
+
+// mean is the mean value of the latest arrivals.
+func (k *ranks) mean() float64 {
+	t, n := 0.0, min(k.n, len(k.value))
+	for _, v := range k.value[:n] {
+		t += v
+	}
+	return t / math.Max(1, float64(n))
+}
