--- a/control/control.go
+++ b/control/control.go
@@ -53,7 +53,7 @@
 	tightest  float64 // the tightest latency target
 	overShare float64
 	tells     bool
-	shedPart  float64
+	marked    float64
 }
 
 // New makes an instance for a server that is just starting.
@@ -94,7 +94,7 @@
 	case Begin:
 		c.ramp.begin, c.limit.begin = now, now
 		c.wake = now + period
-		c.do(Action{Do: Health, Good: true}, Action{Do: IdleAfter, Time: 1000}, Action{Do: Arm, Time: c.wake})
+		c.do(Action{Do: Health, Good: true}, Action{Do: IdleAfter, Time: 300}, Action{Do: Arm, Time: c.wake})
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
@@ -172,7 +172,10 @@
 		return
 	}
 	c.signal.seen++
-	c.shedPart *= 1 - 1.0/32
+	c.marked *= 1 - 1.0/32
+	if ev.Retry {
+		c.marked += 1.0 / 32
+	}
 	idle := ev.Retry && c.hold.n == 0 && c.active < c.limit.runs() // others were full, here a run is free
 	switch {
 	case late:
@@ -183,7 +186,6 @@
 		c.push(i, 0, false)
 	case !c.pressure.takes(c.chance, r.rank) || !c.feasible(&r) || !c.room(&r):
 		c.signal.shed++
-		c.shedPart += 1.0 / 32
 		c.shed(i)
 	default:
 		if meth.Repeat == Tokened {
@@ -220,16 +222,12 @@
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
-func patience(rank, shed, rel float64) float64 {
+func patience(rank float64) float64 {
 	const (
-		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
-		mid   = 0.4
+		least = 0.4 // the least valuable of all come in while runs are free, and hardly else
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
-	if rank < shed {
-		return least + (mid-least)*rel*rel
-	}
-	return mid + (most-mid)*(rank-shed)/(1.001-shed)
+	return least + (most-least)*rank
 }
 
 // est is the expected run time of an RPC without its calls.
@@ -274,7 +272,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	return w < left*patience(r.rank, c.shedPart, math.Min(1, r.value/c.ranks.mean()))
+	return w < left*patience(r.rank)
 }
 
 // away is the advice that goes with an overload's pushback: until half the hold has drained. Callers that
@@ -318,7 +316,7 @@
 // its caller is asked not to go on, or each read of it costs one more server.
 func (c *Control) shed(i int) {
 	again := c.in.rpc[i].again
-	c.push(i, c.away(again), again)
+	c.push(i, c.away(again), again || c.marked > 0.35)
 }
 
 // push pushes a held RPC back; it never ran.
@@ -1021,12 +1019,3 @@
 	s.told = v
 	return v, true
 }
-
-// mean is the mean value of the latest arrivals.
-func (k *ranks) mean() float64 {
-	t, n := 0.0, min(k.n, len(k.value))
-	for _, v := range k.value[:n] {
-		t += v
-	}
-	return t / math.Max(1, float64(n))
-}
