--- a/control/control.go
+++ b/control/control.go
@@ -94,7 +94,7 @@
 	case Begin:
 		c.ramp.begin, c.limit.begin = now, now
 		c.wake = now + period
-		c.do(Action{Do: Health, Good: true}, Action{Do: IdleAfter, Time: 300}, Action{Do: Arm, Time: c.wake})
+		c.do(Action{Do: Health, Good: true}, Action{Do: IdleAfter, Time: 1000}, Action{Do: Arm, Time: c.wake})
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
@@ -184,7 +184,7 @@
 		c.push(i, math.Min(rampRetry, c.retry), false)
 	case hasty:
 		c.push(i, 0, false)
-	case !c.pressure.takes(c.chance, r.rank) || !c.feasible(&r) || !c.room(&r):
+	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room(&r):
 		c.signal.shed++
 		c.shed(i)
 	default:
@@ -224,7 +224,7 @@
 // at once, and the rest gets in.
 func patience(rank float64) float64 {
 	const (
-		least = 0.4 // the least valuable of all come in while runs are free, and hardly else
+		least = 0.6 // the least valuable of all come in while runs are free, and hardly else
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
 	return least + (most-least)*rank
@@ -233,8 +233,9 @@
 // est is the expected run time of an RPC without its calls.
 func (c *Control) est(r *rpc) float64 { return c.pace[r.method].run(r.work) }
 
-// wait is the expected time in the hold of an RPC that would come last before target.
-func (c *Control) wait(target float64) float64 {
+// wait is the expected time in the hold of an RPC that would come last before target, if all that counts for less
+// than floor were pushed back.
+func (c *Control) wait(target, floor float64) float64 {
 	ahead := 0.0
 	for i := range c.in.rpc {
 		r := &c.in.rpc[i]
@@ -243,7 +244,7 @@
 			e := c.est(r)
 			ahead += math.Max(e-(c.now-r.began), e/4)
 		case held:
-			if r.target <= target {
+			if r.target <= target && r.value >= floor {
 				ahead += c.est(r)
 			}
 		}
@@ -262,24 +263,50 @@
 
 // feasible tells whether an RPC just read can be ok in time, with the patience that its criticality gives
 // it.
-func (c *Control) feasible(r *rpc) bool {
+func (c *Control) feasible(r *rpc, floor float64) bool {
 	p := &c.pace[r.method]
 	left := r.target - c.now - c.est(r) - p.below
 	if c.drain.on {
 		left = math.Min(left, c.drain.stop-c.now-c.est(r)-p.below-2*period)
 	}
-	w := c.wait(r.target)
+	w := c.wait(r.target, floor)
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
 	return w < left*patience(r.rank)
 }
 
+// makeWay tells whether an RPC just read can be ok in time, and pushes back what is held and counts for less
+// if it must: the least valuable first.
+func (c *Control) makeWay(r *rpc) bool {
+	const less = 0.8 // of the value
+	if c.feasible(r, 0) {
+		return true
+	}
+	if !c.feasible(r, less*r.value) {
+		return false
+	}
+	for !c.feasible(r, 0) {
+		least := -1
+		for i := range c.in.rpc {
+			if o := &c.in.rpc[i]; o.state == held && o.id != r.id && o.target <= r.target && (least < 0 || o.value < c.in.rpc[least].value) {
+				least = i
+			}
+		}
+		if least < 0 || c.in.rpc[least].value >= less*r.value {
+			return false
+		}
+		c.signal.shed++
+		c.shed(least)
+	}
+	return true
+}
+
 // away is the advice that goes with an overload's pushback: until half the hold has drained. Callers that
 // stay away until all has find idle cores, and come back together. Further tries, which a storm is made of,
 // stay away for what waits unread as well.
 func (c *Control) away(again bool) float64 {
-	w := c.wait(math.Inf(1)) / 2
+	w := c.wait(math.Inf(1), 0) / 2
 	if again {
 		w += c.limit.unread * c.tightest
 	}
@@ -316,7 +343,7 @@
 // its caller is asked not to go on, or each read of it costs one more server.
 func (c *Control) shed(i int) {
 	again := c.in.rpc[i].again
-	c.push(i, c.away(again), again || c.marked > 0.35)
+	c.push(i, c.away(again), again || c.marked > 0.25)
 }
 
 // push pushes a held RPC back; it never ran.
