--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,7 @@
 	limit     runLimit
 	keys      keys
 	calls     calls
+	links     links
 	drain     drain
 	health    health
 	signal    signal
@@ -68,6 +69,7 @@
 		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
 		keys:      keys{kb: node.KeyKB},
 		calls:     newCalls(below.Share, below.Linger),
+		links:     newLinks(fleet.Idle),
 		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
 		habits:    map[uint16]habit{},
@@ -94,7 +96,7 @@
 	case Begin:
 		c.ramp.begin, c.limit.begin = now, now
 		c.wake = now + period
-		c.do(Action{Do: Health, Good: true}, Action{Do: IdleAfter, Time: 1000}, Action{Do: Arm, Time: c.wake})
+		c.do(Action{Do: Health, Good: true}, Action{Do: IdleAfter, Time: c.links.idle}, Action{Do: Arm, Time: c.wake})
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
@@ -224,7 +226,7 @@
 // at once, and the rest gets in.
 func patience(rank float64) float64 {
 	const (
-		least = 0.6 // the least valuable of all come in while runs are free, and hardly else
+		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
 	return least + (most-least)*rank
@@ -497,6 +499,9 @@
 	}
 	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
 	c.pressure.step(c.now, g.CoreUse)
+	if c.links.step(c.now, c.limit.other/c.limit.cores) {
+		c.do(Action{Do: IdleAfter, Time: c.links.idle})
+	}
 	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
 		c.do(Action{Do: Health, Good: c.health.good})
 	}
@@ -1007,6 +1012,40 @@
 	return turn
 }
 
+// links sets after what time connections that carry nothing are closed.
+type links struct {
+	idle float64
+	told float64
+	most float64
+	next float64
+}
+
+func newLinks(most float64) links {
+	return links{idle: math.Min(1000, most), told: math.Min(1000, most), most: most}
+}
+
+// step hears what part of the cores goes into reading and opening.
+func (k *links) step(now, reading float64) bool {
+	const (
+		pace  = 200.0
+		flood = 0.5
+	)
+	if now < k.next {
+		return false
+	}
+	k.next = now + pace
+	if reading > flood {
+		k.idle = math.Min(k.most, k.idle*1.15)
+	} else {
+		k.idle = math.Max(math.Min(1000, k.most), k.idle*0.95)
+	}
+	if math.Abs(k.idle-k.told) < 0.1*k.told {
+		return false
+	}
+	k.told = k.idle
+	return true
+}
+
 // signal is the value that goes out with answers.
 type signal struct {
 	say     Say
