--- a/control/control.go
+++ b/control/control.go
@@ -226,7 +226,7 @@
 // at once, and the rest gets in.
 func patience(rank float64) float64 {
 	const (
-		least = 0.5 // the least valuable of all come in while runs are free, and hardly else
+		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
 	return least + (most-least)*rank
@@ -499,7 +499,7 @@
 	}
 	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
 	c.pressure.step(c.now, g.CoreUse)
-	if c.links.step(c.now, c.limit.other/c.limit.cores) {
+	if c.links.step(c.now, c.limit.reads/math.Max(1, c.limit.ends)) {
 		c.do(Action{Do: IdleAfter, Time: c.links.idle})
 	}
 	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
@@ -1028,7 +1028,7 @@
 func (k *links) step(now, reading float64) bool {
 	const (
 		pace  = 200.0
-		flood = 0.8
+		flood = 3.0
 	)
 	if now < k.next {
 		return false
