--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,7 @@
 	tightest  float64 // the tightest latency target
 	overShare float64
 	tells     bool
+	shedPart  float64
 	marked    float64
 }
 
@@ -174,6 +175,7 @@
 		return
 	}
 	c.signal.seen++
+	c.shedPart *= 1 - 1.0/32
 	c.marked *= 1 - 1.0/32
 	if ev.Retry {
 		c.marked += 1.0 / 32
@@ -188,6 +190,7 @@
 		c.push(i, 0, false)
 	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room(&r):
 		c.signal.shed++
+		c.shedPart += 1.0 / 32
 		c.shed(i)
 	default:
 		if meth.Repeat == Tokened {
@@ -224,11 +227,9 @@
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
-func patience(rank float64) float64 {
-	const (
-		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
-		most  = 0.8  // leaves a fifth for what the estimate does not know
-	)
+func patience(rank, shed float64) float64 {
+	const most = 0.8 // leaves a fifth for what the estimate does not know
+	least := math.Max(0.05, 0.6-shed)
 	return least + (most-least)*rank
 }
 
@@ -275,7 +276,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	return w < left*patience(r.rank)
+	return w < left*patience(r.rank, c.shedPart)
 }
 
 // makeWay tells whether an RPC just read can be ok in time, and pushes back what is held and counts for less
