--- a/control/control.go
+++ b/control/control.go
@@ -54,7 +54,6 @@
 	tightest  float64 // the tightest latency target
 	overShare float64
 	tells     bool
-	shedPart  float64
 	marked    float64
 }
 
@@ -175,7 +174,6 @@
 		return
 	}
 	c.signal.seen++
-	c.shedPart *= 1 - 1.0/32
 	c.marked *= 1 - 1.0/32
 	if ev.Retry {
 		c.marked += 1.0 / 32
@@ -190,7 +188,6 @@
 		c.push(i, 0, false)
 	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room(&r):
 		c.signal.shed++
-		c.shedPart += 1.0 / 32
 		c.shed(i)
 	default:
 		if meth.Repeat == Tokened {
@@ -227,9 +224,11 @@
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
-func patience(rank, shed float64) float64 {
-	const most = 0.8 // leaves a fifth for what the estimate does not know
-	least := math.Max(0.05, 0.6-shed)
+func patience(rank float64) float64 {
+	const (
+		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
+		most  = 0.8  // leaves a fifth for what the estimate does not know
+	)
 	return least + (most-least)*rank
 }
 
@@ -276,7 +275,20 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	return w < left*patience(r.rank, c.shedPart)
+	if w >= left*patience(r.rank) {
+		return false
+	}
+	for i := range c.in.rpc {
+		o := &c.in.rpc[i]
+		if o.state != held || o.target <= r.target || o.value < floor {
+			continue
+		}
+		slack := o.target - c.now - c.est(o) - c.pace[o.method].below - c.wait(o.target, floor)
+		if slack < 0 && slack+c.est(r)/float64(c.limit.runs()) >= 0 {
+			return false // it would push out one that has been taken
+		}
+	}
+	return true
 }
 
 // makeWay tells whether an RPC just read can be ok in time, and pushes back what is held and counts for less
@@ -292,7 +304,7 @@
 	for !c.feasible(r, 0) {
 		least := -1
 		for i := range c.in.rpc {
-			if o := &c.in.rpc[i]; o.state == held && o.id != r.id && o.target <= r.target && (least < 0 || o.value < c.in.rpc[least].value) {
+			if o := &c.in.rpc[i]; o.state == held && o.id != r.id && (least < 0 || o.value < c.in.rpc[least].value) {
 				least = i
 			}
 		}
