--- a/control/control.go
+++ b/control/control.go
@@ -155,7 +155,7 @@
 		r.value *= in + (1-in)*c.overShare
 	}
 	r.rank = c.ranks.of(r.value)
-	c.limit.read(ev.Waited / c.tightest)
+	c.limit.read(ev.Waited/c.tightest, ev.Retry)
 	i := c.in.add(r)
 	c.used += r.kb
 	late := c.drain.on && (r.arrived > c.drain.since+c.grace-c.node.Tick || c.now > c.drain.stop-2*period)
@@ -512,7 +512,7 @@
 	}
 	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
 	c.pressure.step(c.now, g.CoreUse)
-	if c.links.step(c.now, c.limit.reads/math.Max(1, c.limit.ends)) {
+	if c.links.step(c.now, c.limit.firsts/math.Max(1, c.limit.ends)) {
 		c.do(Action{Do: IdleAfter, Time: c.links.idle})
 	}
 	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
@@ -770,6 +770,7 @@
 	busy    float64 // runs on the cores for each core, where others wait for disk
 	onCore  float64 // share of the runs that want a core, the others wait for disk
 	other   float64 // what else wants the cores: reads, checks, new connections
+	firsts  float64
 	reads   float64 // arrivals of late
 	reading float64 // and what they took of the cores
 	ends    float64 // the same of runs
@@ -785,7 +786,10 @@
 }
 
 // read hears how long an arrival waited unread; about ten arrivals are remembered.
-func (l *runLimit) read(waited float64) {
+func (l *runLimit) read(waited float64, again bool) {
+	if !again {
+		l.firsts++
+	}
 	l.unread += 0.1 * (waited - l.unread)
 	l.reads++
 }
@@ -795,6 +799,7 @@
 	l.now = now
 	other := math.Max(0, onCores-float64(active))
 	l.other += 4 * weight * (other - l.other)
+	l.firsts *= 1 - weight
 	l.reads, l.reading = l.reads*(1-weight), l.reading*(1-weight)+other
 	l.ends, l.running = l.ends*(1-weight), l.running*(1-weight)+float64(active)
 	if waiting > 0 { // cores that idle while RPCs are held want more runs, full ones do with fewer
