--- a/control/control.go
+++ b/control/control.go
@@ -224,11 +224,9 @@
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
-func patience(rank float64) float64 {
-	const (
-		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
-		most  = 0.8  // leaves a fifth for what the estimate does not know
-	)
+func patience(rank, over float64) float64 {
+	const most = 0.8 // leaves a fifth for what the estimate does not know
+	least := math.Max(0.05, 0.6-1.5*over)
 	return least + (most-least)*rank
 }
 
@@ -275,7 +273,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	if w >= left*patience(r.rank) {
+	if w >= left*patience(r.rank, c.limit.over()) {
 		return false
 	}
 	for i := range c.in.rpc {
@@ -512,7 +510,7 @@
 	}
 	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
 	c.pressure.step(c.now, g.CoreUse)
-	if c.links.step(c.now, c.limit.firsts/math.Max(1, c.limit.ends)) {
+	if c.links.step(c.now, 1 / (1 - c.limit.over())) {
 		c.do(Action{Do: IdleAfter, Time: c.links.idle})
 	}
 	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
@@ -794,6 +792,14 @@
 	l.reads++
 }
 
+// over is the part of the first tries read of late that could not be run.
+func (l *runLimit) over() float64 {
+	if l.firsts <= l.ends {
+		return 0
+	}
+	return math.Min(0.99, 1-l.ends/l.firsts)
+}
+
 func (l *runLimit) step(now, onCores, use float64, active, waiting int) {
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
