--- a/control/control.go
+++ b/control/control.go
@@ -226,7 +226,7 @@
 // at once, and the rest gets in.
 func patience(rank, over float64) float64 {
 	const most = 0.8 // leaves a fifth for what the estimate does not know
-	least := math.Max(0.05, 0.6-1.5*over)
+	least := math.Max(0.05, 0.6-over)
 	return least + (most-least)*rank
 }
 
