--- a/control/control.go
+++ b/control/control.go
@@ -224,9 +224,11 @@
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
-func patience(rank, over float64) float64 {
-	const most = 0.8 // leaves a fifth for what the estimate does not know
-	least := math.Max(0.05, 0.6-over)
+func patience(rank float64) float64 {
+	const (
+		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
+		most  = 0.8  // leaves a fifth for what the estimate does not know
+	)
 	return least + (most-least)*rank
 }
 
@@ -273,7 +275,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	if w >= left*patience(r.rank, c.limit.over()) {
+	if w >= left*patience(r.rank) {
 		return false
 	}
 	for i := range c.in.rpc {
@@ -710,11 +712,7 @@
 	all := k.value[:min(k.n, len(k.value))]
 	below := 0.0
 	for _, o := range all {
-		if o < v {
-			below++
-		} else if o == v {
-			below += 0.5
-		}
+		below += math.Min(1, math.Max(0, 0.5+(v-o)/(v+o)))
 	}
 	return below / float64(len(all))
 }
