--- a/control/control.go
+++ b/control/control.go
@@ -284,7 +284,7 @@
 			continue
 		}
 		slack := o.target - c.now - c.est(o) - c.pace[o.method].below - c.wait(o.target, floor)
-		if slack < 0 && slack+c.est(r)/float64(c.limit.runs()) >= 0 {
+		if false && slack < 0 && slack+c.est(r)/float64(c.limit.runs()) >= 0 {
 			return false // it would push out one that has been taken
 		}
 	}
@@ -712,7 +712,11 @@
 	all := k.value[:min(k.n, len(k.value))]
 	below := 0.0
 	for _, o := range all {
-		below += math.Min(1, math.Max(0, 0.5+(v-o)/(v+o)))
+		if o < v {
+			below++
+		} else if o == v {
+			below += 0.5
+		}
 	}
 	return below / float64(len(all))
 }
