--- a/control/control.go
+++ b/control/control.go
@@ -224,12 +224,12 @@
 // patience is the part of the time before the latency target that an RPC may wait in the hold. What
 // counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
 // at once, and the rest gets in.
-func patience(rank float64) float64 {
+func patience(rank, rel float64) float64 {
 	const (
 		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
-	return least + (most-least)*rank
+	return math.Max(least+(most-least)*rank, 0.6*math.Min(1, rel*rel))
 }
 
 // est is the expected run time of an RPC without its calls.
@@ -275,7 +275,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	if w >= left*patience(r.rank) {
+	if w >= left*patience(r.rank, r.value/c.ranks.mean()) {
 		return false
 	}
 	for i := range c.in.rpc {
@@ -1111,3 +1111,12 @@
 	s.told = v
 	return v, true
 }
+
+// mean is the mean value of the latest arrivals.
+func (k *ranks) mean() float64 {
+	t, n := 0.0, min(k.n, len(k.value))
+	for _, v := range k.value[:n] {
+		t += v
+	}
+	return t / math.Max(1, float64(n))
+}
