--- a/control/control.go
+++ b/control/control.go
@@ -229,7 +229,7 @@
 		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
-	return math.Max(least+(most-least)*rank, 0.6*math.Min(1, rel*rel))
+	return math.Max(least+(most-least)*rank, 0.8*math.Min(1, 1.5*rel*rel))
 }
 
 // est is the expected run time of an RPC without its calls.
