--- a/control/api.go
+++ b/control/api.go
@@ -65,6 +65,7 @@
 type Fleet struct {
 	Peers         int     // servers of this tier, this one included
 	Callers       int     // callers of this tier
+	Marks         bool    // further tries are marked
 	TellsTime     bool    // an RPC says how long its caller still waits
 	Say           Say     // how callers read the value that goes out with answers
 	Idle          float64 // callers close connections idle for this long
--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,7 @@
 	tightest  float64 // the tightest latency target
 	overShare float64
 	tells     bool
+	marks     bool
 	marked    float64
 }
 
@@ -75,7 +76,7 @@
 		habits:    map[uint16]habit{},
 		pace:      make([]pace, len(methods)),
 		chance:    rand.New(rand.NewSource(int64(node.Seed))),
-		overShare: fleet.OverShare, tells: fleet.TellsTime, tightest: math.Inf(1),
+		overShare: fleet.OverShare, tells: fleet.TellsTime, marks: fleet.Marks, tightest: math.Inf(1),
 	}
 	for i, m := range methods {
 		target := math.Max(1, m.LatencyTarget)
@@ -229,7 +230,7 @@
 		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
 		most  = 0.8  // leaves a fifth for what the estimate does not know
 	)
-	return math.Max(least+(most-least)*rank, 0.8*math.Min(1, 1.5*rel*rel))
+	return math.Max(least+(most-least)*rank, most*math.Min(1, rel*rel))
 }
 
 // est is the expected run time of an RPC without its calls.
@@ -358,7 +359,7 @@
 // its caller is asked not to go on, or each read of it costs one more server.
 func (c *Control) shed(i int) {
 	again := c.in.rpc[i].again
-	c.push(i, c.away(again), again || c.marked > 0.25)
+	c.push(i, c.away(again), again || c.marked > 0.25 || !c.marks && c.limit.over() > 0.6)
 }
 
 // push pushes a held RPC back; it never ran.
@@ -512,7 +513,7 @@
 	}
 	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
 	c.pressure.step(c.now, g.CoreUse)
-	if c.links.step(c.now, 1 / (1 - c.limit.over())) {
+	if c.links.step(c.now, 1/(1-c.limit.over())) {
 		c.do(Action{Do: IdleAfter, Time: c.links.idle})
 	}
 	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
--- a/internal/simwire/opening.go
+++ b/internal/simwire/opening.go
@@ -54,6 +54,7 @@
 		Fleet: control.Fleet{
 			Peers:         max(1, int(l.num("replicas_of_me", 1))),
 			Callers:       max(1, int(l.num("family_info.callers", 1))),
+			Marks:         l.yes("client_habits.marks_retry"),
 			TellsTime:     l.yes("family_info.passes_deadline"),
 			Idle:          l.ms("family_info.idle", 30e9),
 			MaxRetryAfter: l.ms("limits.max_retry_after", 0),
