--- a/control/control.go
+++ b/control/control.go
@@ -1048,7 +1048,7 @@
 }
 
 func newLinks(most float64) links {
-	return links{idle: math.Min(1000, most), told: math.Min(1000, most), most: most}
+	return links{idle: math.Min(500, most), told: math.Min(500, most), most: most}
 }
 
 // step hears what part of the cores goes into reading and opening.
@@ -1064,7 +1064,7 @@
 	if reading > flood {
 		k.idle = math.Min(k.most, k.idle*1.15)
 	} else {
-		k.idle = math.Max(math.Min(1000, k.most), k.idle*0.95)
+		k.idle = math.Max(math.Min(500, k.most), k.idle*0.95)
 	}
 	if math.Abs(k.idle-k.told) < 0.1*k.told {
 		return false
