--- a/control/control.go
+++ b/control/control.go
@@ -41,7 +41,7 @@
 	limit     runLimit
 	keys      keys
 	calls     calls
-	links     links
+	tries     tries
 	drain     drain
 	health    health
 	signal    signal
@@ -54,8 +54,6 @@
 	tightest  float64 // the tightest latency target
 	overShare float64
 	tells     bool
-	marks     bool
-	marked    float64
 }
 
 // New makes an instance for a server that is just starting.
@@ -70,13 +68,13 @@
 		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
 		keys:      keys{kb: node.KeyKB},
 		calls:     newCalls(below.Share, below.Linger),
-		links:     newLinks(fleet.Idle),
+		tries:     tries{marks: fleet.Marks, told: fleet.Idle, most: fleet.Idle},
 		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
 		habits:    map[uint16]habit{},
 		pace:      make([]pace, len(methods)),
 		chance:    rand.New(rand.NewSource(int64(node.Seed))),
-		overShare: fleet.OverShare, tells: fleet.TellsTime, marks: fleet.Marks, tightest: math.Inf(1),
+		overShare: fleet.OverShare, tells: fleet.TellsTime, tightest: math.Inf(1),
 	}
 	for i, m := range methods {
 		target := math.Max(1, m.LatencyTarget)
@@ -97,7 +95,7 @@
 	case Begin:
 		c.ramp.begin, c.limit.begin = now, now
 		c.wake = now + period
-		c.do(Action{Do: Health, Good: true}, Action{Do: IdleAfter, Time: c.links.idle}, Action{Do: Arm, Time: c.wake})
+		c.do(Action{Do: Health, Good: true}, Action{Do: Arm, Time: c.wake})
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
@@ -155,8 +153,9 @@
 		in := c.shares[ev.Customer].within(c.now, ev.Retry)
 		r.value *= in + (1-in)*c.overShare
 	}
-	r.rank = c.ranks.of(r.value)
-	c.limit.read(ev.Waited/c.tightest, ev.Retry)
+	r.rank, r.rel = c.ranks.of(r.value)
+	c.limit.read(ev.Waited / c.tightest)
+	c.tries.read(ev.Retry)
 	i := c.in.add(r)
 	c.used += r.kb
 	late := c.drain.on && (r.arrived > c.drain.since+c.grace-c.node.Tick || c.now > c.drain.stop-2*period)
@@ -175,10 +174,6 @@
 		return
 	}
 	c.signal.seen++
-	c.marked *= 1 - 1.0/32
-	if ev.Retry {
-		c.marked += 1.0 / 32
-	}
 	idle := ev.Retry && c.hold.n == 0 && c.active < c.limit.runs() // others were full, here a run is free
 	switch {
 	case late:
@@ -276,20 +271,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	if w >= left*patience(r.rank, r.value/c.ranks.mean()) {
-		return false
-	}
-	for i := range c.in.rpc {
-		o := &c.in.rpc[i]
-		if o.state != held || o.target <= r.target || o.value < floor {
-			continue
-		}
-		slack := o.target - c.now - c.est(o) - c.pace[o.method].below - c.wait(o.target, floor)
-		if false && slack < 0 && slack+c.est(r)/float64(c.limit.runs()) >= 0 {
-			return false // it would push out one that has been taken
-		}
-	}
-	return true
+	return w < left*patience(r.rank, r.rel)
 }
 
 // makeWay tells whether an RPC just read can be ok in time, and pushes back what is held and counts for less
@@ -305,7 +287,8 @@
 	for !c.feasible(r, 0) {
 		least := -1
 		for i := range c.in.rpc {
-			if o := &c.in.rpc[i]; o.state == held && o.id != r.id && (least < 0 || o.value < c.in.rpc[least].value) {
+			if o := &c.in.rpc[i]; o.state == held && o.id != r.id && o.target <= r.target &&
+				(least < 0 || o.value < c.in.rpc[least].value) {
 				least = i
 			}
 		}
@@ -359,7 +342,7 @@
 // its caller is asked not to go on, or each read of it costs one more server.
 func (c *Control) shed(i int) {
 	again := c.in.rpc[i].again
-	c.push(i, c.away(again), again || c.marked > 0.25 || !c.marks && c.limit.over() > 0.6)
+	c.push(i, c.away(again), again || c.tries.everywhere())
 }
 
 // push pushes a held RPC back; it never ran.
@@ -435,7 +418,7 @@
 	if r.state == calling {
 		c.calls.done(c.now, c.now-r.stood, TimedOut)
 	}
-	c.limit.ends++
+	c.tries.ends++
 	if !r.answered && c.now-r.arrived > 1.3*c.habits[r.caller].mean {
 		delete(c.habits, r.caller) // this one waited longer
 	}
@@ -513,8 +496,8 @@
 	}
 	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
 	c.pressure.step(c.now, g.CoreUse)
-	if c.links.step(c.now, 1/(1-c.limit.over())) {
-		c.do(Action{Do: IdleAfter, Time: c.links.idle})
+	if c.tries.step(c.now) {
+		c.do(Action{Do: IdleAfter, Time: c.tries.idle})
 	}
 	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
 		c.do(Action{Do: Health, Good: c.health.good})
@@ -706,20 +689,22 @@
 	n     int
 }
 
-// of adds a value and returns the part of the others that lie below it, equals counting half.
-func (k *ranks) of(v float64) float64 {
+// of adds a value and returns the part of the others that lie below it, equals counting half, and the value over
+// their mean.
+func (k *ranks) of(v float64) (rank, rel float64) {
 	k.value[k.n%len(k.value)] = v
 	k.n++
 	all := k.value[:min(k.n, len(k.value))]
-	below := 0.0
+	below, sum := 0.0, 0.0
 	for _, o := range all {
+		sum += o
 		if o < v {
 			below++
 		} else if o == v {
 			below += 0.5
 		}
 	}
-	return below / float64(len(all))
+	return below / float64(len(all)), v * float64(len(all)) / math.Max(sum, 1e-9)
 }
 
 // hold keeps the RPCs that wait, in two lines by the time their answers are wanted.
@@ -770,12 +755,6 @@
 	ceiling float64
 	busy    float64 // runs on the cores for each core, where others wait for disk
 	onCore  float64 // share of the runs that want a core, the others wait for disk
-	other   float64 // what else wants the cores: reads, checks, new connections
-	firsts  float64
-	reads   float64 // arrivals of late
-	reading float64 // and what they took of the cores
-	ends    float64 // the same of runs
-	running float64
 	unread  float64 // wait of arrivals before they were read, in parts of the tightest latency target
 	now     float64
 }
@@ -787,30 +766,11 @@
 }
 
 // read hears how long an arrival waited unread; about ten arrivals are remembered.
-func (l *runLimit) read(waited float64, again bool) {
-	if !again {
-		l.firsts++
-	}
-	l.unread += 0.1 * (waited - l.unread)
-	l.reads++
-}
-
-// over is the part of the first tries read of late that could not be run.
-func (l *runLimit) over() float64 {
-	if l.firsts <= l.ends {
-		return 0
-	}
-	return math.Min(0.99, 1-l.ends/l.firsts)
-}
+func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) }
 
 func (l *runLimit) step(now, onCores, use float64, active, waiting int) {
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
-	other := math.Max(0, onCores-float64(active))
-	l.other += 4 * weight * (other - l.other)
-	l.firsts *= 1 - weight
-	l.reads, l.reading = l.reads*(1-weight), l.reading*(1-weight)+other
-	l.ends, l.running = l.ends*(1-weight), l.running*(1-weight)+float64(active)
 	if waiting > 0 { // cores that idle while RPCs are held want more runs, full ones do with fewer
 		l.busy = math.Min(2, math.Max(1, l.busy+0.1*(0.97-use)))
 	}
@@ -822,10 +782,7 @@
 
 // runs is the limit. The crowd that kills is told; it is kept to well under that, the less while cold.
 func (l *runLimit) runs() int {
-	const (
-		most = 0.7 // part of the crowd that kills: all may come back from disk at once, and some from calls
-		few  = 0.1 // of the tightest latency target: waits unread up to this are no flood
-	)
+	const most = 0.7 // part of the crowd that kills: all may come back from disk at once, and some from calls
 	speed := 1.0
 	if l.cold {
 		speed = math.Min(1, l.start+(1-l.start)*(l.now-l.begin)/l.warmBy)
@@ -835,15 +792,7 @@
 		per = l.busy / l.onCore
 	}
 	per = math.Min(per, most*(1+(l.ceiling-1)*speed))
-	// A flood of arrivals is read on the same cores: what runs beside it makes way, or what is unread
-	// waits for seconds and is too old when it is read. The dearer a read is next to a run the less: at
-	// a quarter, reading faster only to push back more loses what it should save.
-	cheap := 0.0
-	if l.reads > 0 && l.running > 0 {
-		cheap = math.Max(0, 1-4*l.reading/l.reads*l.ends/l.running)
-	}
-	n := per*l.cores - cheap*l.other*math.Min(1, math.Max(0, l.unread/few-1))
-	return int(math.Max(math.Ceil(l.cores/3), math.Round(n)))
+	return int(math.Max(1, math.Round(per*l.cores)))
 }
 
 // pace learns how long the runs of a method take, and how far their hints tell it.
@@ -1039,37 +988,66 @@
 	return turn
 }
 
-// links sets after what time connections that carry nothing are closed.
-type links struct {
-	idle float64
-	told float64
-	most float64
-	next float64
+// tries tells from what has been read of late whether servers push back all over the fleet, and sets after what
+// time idle connections are closed. Where further tries are not marked all count as first ones.
+type tries struct {
+	marks  bool
+	firsts float64 // first tries read, two seconds' worth
+	ends   float64 // runs ended, the same
+	marked float64 // part of the latest tries that were marked
+	idle   float64
+	told   float64
+	most   float64
+	next   float64
 }
 
-func newLinks(most float64) links {
-	return links{idle: math.Min(500, most), told: math.Min(500, most), most: most}
+func (t *tries) read(again bool) {
+	const weight = 1.0 / 32 // about as many tries of memory: some seconds of traffic
+	t.marked -= weight * t.marked
+	if again {
+		t.marked += weight
+	} else {
+		t.firsts++
+	}
 }
 
-// step hears what part of the cores goes into reading and opening.
-func (k *links) step(now, reading float64) bool {
+// everywhere tells whether a pushback would most likely meet the next. Each costs the fleet a read and often a
+// connection, a fifth of a run together, and where all are full it gains nothing but the place of another RPC. A
+// server that is slow by itself reads few marked tries, so those that it can't take go on.
+func (t *tries) everywhere() bool {
+	const (
+		marked = 0.25 // of the tries pushed back elsewhere: a fleet with room for most has under a tenth
+		lost   = 0.6  // unmarked: first and further tries, two and a half for each run that ends
+	)
+	return t.marked > marked || !t.marks && t.firsts > t.ends/(1-lost)
+}
+
+// step sets the idle limit. Most callers of a large fleet come back to one server long after: what they leave
+// open fills the table, which slows the cores and shuts others out, so connections are closed soon. In a flood of
+// first tries that fills the cores with reading and opening, the full table is the one way to turn away what
+// costs nothing to read: they are kept longer the longer it lasts.
+func (t *tries) step(now float64) bool {
 	const (
 		pace  = 200.0
-		flood = 3.0
+		least = 1000.0 // at a few callers each comes back sooner
+		flood = 3.0    // first tries for each run that ends: reading them takes half the cores or so
+		grow  = 1.15   // from a second to ten in three
+		fall  = 0.95   // and back in nine
 	)
-	if now < k.next {
+	if now < t.next {
 		return false
 	}
-	k.next = now + pace
-	if reading > flood {
-		k.idle = math.Min(k.most, k.idle*1.15)
+	t.next = now + pace
+	t.firsts, t.ends = 0.9*t.firsts, 0.9*t.ends
+	if t.firsts > flood*math.Max(1, t.ends) {
+		t.idle = math.Min(t.most, t.idle*grow)
 	} else {
-		k.idle = math.Max(math.Min(500, k.most), k.idle*0.95)
+		t.idle = math.Min(t.most, math.Max(least, t.idle*fall))
 	}
-	if math.Abs(k.idle-k.told) < 0.1*k.told {
-		return false
+	if math.Abs(t.idle-t.told) <= 0.1*t.told {
+		return false // too small a change to tell
 	}
-	k.told = k.idle
+	t.told = t.idle
 	return true
 }
 
@@ -1112,12 +1090,3 @@
 	s.told = v
 	return v, true
 }
-
-// mean is the mean value of the latest arrivals.
-func (k *ranks) mean() float64 {
-	t, n := 0.0, min(k.n, len(k.value))
-	for _, v := range k.value[:n] {
-		t += v
-	}
-	return t / math.Max(1, float64(n))
-}
--- a/control/slab.go
+++ b/control/slab.go
@@ -39,6 +39,7 @@
 	answered bool
 	value    float64 // criticality that it counts for
 	rank     float64 // where that stands among late arrivals, 0 to 1
+	rel      float64 // value over the mean of late arrivals
 	tries    int     // calls made at this stand
 }
 
