--- a/control/control.go
+++ b/control/control.go
@@ -15,6 +15,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 )
 
 // period is the time between two looks at the gauges and at what falls due. It lies under the slack
@@ -23,37 +24,36 @@
 
 // Control is one instance.
 type Control struct {
-	node    Node
-	methods []Method
-	grace   float64
-	retry   float64 // longest advice to stay away
-	out     []Action
-	now     float64
-	in      slab    // the RPCs in hand
-	wake    float64 // when the next timer should come
-	short   bool    // memory has kept something out since the last look
-	noted   [5]bool
-	used    float64 // memory of the RPCs in hand
-
-	ramp      ramp
-	pressure  pressure
-	hold      hold
-	limit     runLimit
-	keys      keys
-	calls     calls
-	tries     tries
-	drain     drain
-	health    health
-	signal    signal
-	pace      []pace
-	shares    []share
-	chance    *rand.Rand
-	active    int // running, not at a call
-	habits    map[uint16]habit
-	ranks     ranks
-	tightest  float64 // the tightest latency target
-	overShare float64
-	tells     bool
+	node             Node
+	methods          []Method
+	grace, overShare float64
+	retry            float64 // longest advice to stay away
+	tells            bool
+	out              []Action
+	now              float64
+	in               slab    // the RPCs in hand
+	wake             float64 // when the next timer should come
+	short            bool    // memory has kept something out since the last look
+	noted            [5]bool
+	used             float64 // memory of the RPCs in hand
+
+	ramp     ramp
+	pressure pressure
+	hold     hold
+	limit    runLimit
+	keys     keys
+	calls    calls
+	tries    tries
+	drain    drain
+	health   health
+	signal   signal
+	pace     []pace
+	shares   []share
+	chance   *rand.Rand
+	active   int // running, not at a call
+	habits   map[uint16]habit
+	ranks    ranks
+	tightest float64 // the tightest latency target
 }
 
 // New makes an instance for a server that is just starting.
@@ -67,7 +67,7 @@
 		pressure:  pressure{share: 1, late: make([]float64, len(methods))},
 		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
 		keys:      keys{kb: node.KeyKB},
-		calls:     newCalls(below.Share, below.Linger),
+		calls:     calls{share: below.Share, most: below.Share, linger: below.Linger},
 		tries:     tries{marks: fleet.Marks, told: fleet.Idle, most: fleet.Idle},
 		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
@@ -91,6 +91,9 @@
 func (c *Control) Handle(now float64, ev Event) []Action {
 	c.out, c.now = c.out[:0], now
 	i, inHand := c.in.byID[ev.RPC]
+	if !inHand && (ev.Kind == Left || ev.Kind == Ended || ev.Kind == Wait || ev.Kind == Called) {
+		return c.out // it is over here
+	}
 	switch ev.Kind {
 	case Begin:
 		c.ramp.begin, c.limit.begin = now, now
@@ -99,21 +102,17 @@
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
-		if inHand {
-			c.left(i)
-		}
+		c.left(i)
 	case Ended:
-		if inHand {
-			c.ended(i, &ev)
-		}
+		c.ended(i, &ev)
 	case Wait:
-		if inHand && c.in.rpc[i].state == running {
+		if c.in.rpc[i].state == running {
 			c.active--
 			c.in.rpc[i].state, c.in.rpc[i].stood, c.in.rpc[i].tries = standing, now, 0
 			c.call(i)
 		}
 	case Called:
-		if inHand && c.in.rpc[i].state == calling {
+		if c.in.rpc[i].state == calling {
 			c.called(i, &ev)
 		}
 	case Notice:
@@ -596,12 +595,11 @@
 
 // ramp is the rising share of callers that a cold server takes.
 type ramp struct {
-	warm   bool
-	begin  float64
-	length float64
-	parts  uint64 // few callers are split in so many parts each
-	salt   uint64
-	most   float64
+	warm          bool
+	begin, length float64
+	parts         uint64 // few callers are split in so many parts each
+	salt          uint64
+	most          float64
 }
 
 // finest is the least number of shares: the ramp's steps are a twentieth of the traffic at most.
@@ -724,13 +722,9 @@
 
 func (h *hold) remove(i, line int) {
 	l := &h.line[line]
-	for k, j := range *l {
-		if j == i {
-			*l = append((*l)[:k], (*l)[k+1:]...)
-			h.n--
-			return
-		}
-	}
+	k := slices.Index(*l, i)
+	*l = slices.Delete(*l, k, k+1)
+	h.n--
 }
 
 // next is the RPC to run next. Long work gets at most half of the runs while short work waits.
@@ -747,16 +741,13 @@
 
 // runLimit is how many RPCs run at once, calls not counted: just enough to keep the cores busy.
 type runLimit struct {
-	cores   float64
-	begin   float64
-	cold    bool
-	start   float64
-	warmBy  float64
-	ceiling float64
-	busy    float64 // runs on the cores for each core, where others wait for disk
-	onCore  float64 // share of the runs that want a core, the others wait for disk
-	unread  float64 // wait of arrivals before they were read, in parts of the tightest latency target
-	now     float64
+	cold                 bool
+	cores, ceiling       float64
+	begin, start, warmBy float64
+	busy                 float64 // runs on the cores for each core, where others wait for disk
+	onCore               float64 // share of the runs that want a core, the others wait for disk
+	unread               float64 // wait of arrivals before they were read, in parts of the tightest latency target
+	now                  float64
 }
 
 func newRunLimit(cores int, cold bool, start, warmBy, ceiling float64) runLimit {
@@ -797,14 +788,12 @@
 
 // pace learns how long the runs of a method take, and how far their hints tell it.
 type pace struct {
-	spent float64
-	work  float64
-	runs  float64
-	below float64 // mean time at calls
-	prior float64
-	idle  float64 // time since a run ended
-	both  float64 // covariance of run time and hint, each over its mean
-	hint  float64 // variance of the hint over its mean
+	spent, work, runs float64
+	below             float64 // mean time at calls
+	prior             float64
+	idle              float64 // time since a run ended
+	both              float64 // covariance of run time and hint, each over its mean
+	hint              float64 // variance of the hint over its mean
 }
 
 // newPace starts with a sixth of the latency target, until the first run ends, and trusts hints in full.
@@ -842,10 +831,9 @@
 
 // share measures how much of a customer's traffic lies within this server's part of its quota.
 type share struct {
-	rate  float64 // RPCs a millisecond within the share
-	count float64 // first tries of late, older ones weighing less
-	first float64
-	last  float64
+	rate        float64 // RPCs a millisecond within the share
+	count       float64 // first tries of late, older ones weighing less
+	first, last float64
 }
 
 func newShare(quota float64, peers int) share {
@@ -882,10 +870,6 @@
 	rest   float64   // a share under one call is kept by a pause after each
 }
 
-func newCalls(share, linger float64) calls {
-	return calls{share: share, most: share, linger: linger}
-}
-
 // take books a call if there is room for it.
 func (k *calls) take(now float64) bool {
 	n := 0
@@ -935,8 +919,7 @@
 // heavy work ends, which then runs for nobody and runs again elsewhere; it is better sent on at once to a
 // server that may be quicker. A client that left once for its own reasons shows no habit.
 type habit struct {
-	mean   float64
-	spread float64
+	mean, spread float64
 }
 
 func (h habit) left(age float64) habit {
@@ -958,9 +941,8 @@
 
 // drain is the time to leave.
 type drain struct {
-	on    bool
-	since float64
-	stop  float64
+	on          bool
+	since, stop float64
 }
 
 // health is what checks are told. It says no while all that arrives waits unread until it is too old:
@@ -991,14 +973,11 @@
 // tries tells from what has been read of late whether servers push back all over the fleet, and sets after what
 // time idle connections are closed. Where further tries are not marked all count as first ones.
 type tries struct {
-	marks  bool
-	firsts float64 // first tries read, two seconds' worth
-	ends   float64 // runs ended, the same
-	marked float64 // part of the latest tries that were marked
-	idle   float64
-	told   float64
-	most   float64
-	next   float64
+	marks                  bool
+	firsts                 float64 // first tries read, two seconds' worth
+	ends                   float64 // runs ended, the same
+	marked                 float64 // part of the latest tries that were marked
+	idle, told, most, next float64
 }
 
 func (t *tries) read(again bool) {
@@ -1053,13 +1032,10 @@
 
 // signal is the value that goes out with answers.
 type signal struct {
-	say     Say
-	callers float64
-	seen    int
-	shed    int
-	level   float64
-	told    float64
-	next    float64
+	say               Say
+	callers           float64
+	seen, shed        int
+	level, told, next float64
 }
 
 // step moves the level so that what this server would push back for overload is not sent at all; a window
