--- a/control/control.go
+++ b/control/control.go
@@ -722,9 +722,8 @@
 
 func (h *hold) remove(i, line int) {
 	l := &h.line[line]
-	k := slices.Index(*l, i)
-	*l = slices.Delete(*l, k, k+1)
-	h.n--
+	*l = slices.DeleteFunc(*l, func(j int) bool { return j == i }) // one just read stands in none
+	h.n = len(h.line[short]) + len(h.line[long])
 }
 
 // next is the RPC to run next. Long work gets at most half of the runs while short work waits.
@@ -1018,11 +1017,11 @@
 	}
 	t.next = now + pace
 	t.firsts, t.ends = 0.9*t.firsts, 0.9*t.ends
+	change := fall
 	if t.firsts > flood*math.Max(1, t.ends) {
-		t.idle = math.Min(t.most, t.idle*grow)
-	} else {
-		t.idle = math.Min(t.most, math.Max(least, t.idle*fall))
+		change = grow
 	}
+	t.idle = math.Min(t.most, math.Max(least, t.idle*change))
 	if math.Abs(t.idle-t.told) <= 0.1*t.told {
 		return false // too small a change to tell
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -173,7 +173,7 @@
 	for id := uint32(1); id <= 50; id++ {
 		w.arrive(id, Event{})
 	}
-	all := w.c.wait(1e9)
+	all := w.c.wait(1e9, 0)
 	if a := w.last[0]; a.Do != PushBack || a.Time >= all || a.Time < rampRetry {
 		t.Errorf("pushed back with %+v while the hold takes %v", a, all)
 	}
@@ -320,30 +320,69 @@
 	}
 }
 
-// Floods of arrivals wait unread behind the runs; the runs make way, unless reads are dear.
-func TestRunsMakeWayForReads(t *testing.T) {
+// Callers that come back long after leave connections that fill the table; a flood of first tries is best met by
+// the full one, a storm of further tries is not: there callers are asked not to go on.
+func TestTries(t *testing.T) {
 	cases := []struct {
-		name      string
-		reads     int // for each run that ends
-		low, most int
-	}{{"cheap reads", 40, 2, 3}, {"dear reads", 2, 6, 6}}
+		name          string
+		marks         bool
+		firsts, again int // read for each run that ends
+		idle          float64
+		everywhere    bool
+	}{
+		{"calm", true, 1, 0, 1000, false},
+		{"calm, unmarked", false, 2, 0, 1000, false},
+		{"a server slow by itself reads first tries", true, 3, 0, 1000, false},
+		{"a storm of marked tries", true, 2, 4, 1000, true},
+		{"a flood of first tries", true, 6, 0, 20000, false},
+		{"a flood where nothing is marked", false, 6, 0, 20000, true},
+	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			l := newRunLimit(6, false, 0.2, 20000, 8)
-			for i := range 400 {
-				l.ends++
-				for range c.reads {
-					l.read(0.5)
+			p := tries{marks: c.marks, told: 20000, most: 20000}
+			for i := range 200 {
+				for range c.firsts {
+					p.read(false)
+				}
+				for range c.again {
+					p.read(true)
 				}
-				l.step(float64(i)*period, 12, 1, 6, 1)
+				p.ends++
+				p.step(float64(i) * 200)
 			}
-			if n := l.runs(); n < c.low || n > c.most {
-				t.Errorf("%d runs while reads wait half the latency target, want %d to %d", n, c.low, c.most)
+			if p.idle != c.idle || p.everywhere() != c.everywhere {
+				t.Errorf("idle limit %v, pushed back everywhere %v", p.idle, p.everywhere())
 			}
 		})
 	}
 }
 
+// Near the mean value an RPC waits about as long as the best: pushed back, it costs another server its read.
+func TestPatience(t *testing.T) {
+	cases := []struct{ rank, rel, low, most float64 }{{0, 0.1, 0.04, 0.1}, {0.4, 0.9, 0.6, 0.8}, {1, 4, 0.8, 0.8}}
+	for _, c := range cases {
+		if p := patience(c.rank, c.rel); p < c.low || p > c.most {
+			t.Errorf("rank %v, %v of the mean: %v", c.rank, c.rel, p)
+		}
+	}
+}
+
+// In overload what counts for more takes the place of what is held and counts for less, and of that only.
+func TestPlaceTaken(t *testing.T) {
+	s := plain()
+	s.methods = append(s.methods, Method{Name: "pay", LatencyTarget: 1000, Deadline: 3000, Criticality: 4})
+	w := start(t, s)
+	for id := uint32(1); id <= 50; id++ {
+		w.arrive(id, Event{})
+	}
+	before := len(w.final)
+	w.arrive(51, Event{Method: 1})
+	_, out := w.final[51]
+	if gone := len(w.final) - before; out || gone < 1 || gone > 4 {
+		t.Errorf("criticality 4 pushed back: %v; %d others made way", out, gone)
+	}
+}
+
 // While all that arrives is too old when read, health says no, but not for long nor again at once.
 func TestHealthWhileFlooded(t *testing.T) {
 	w := start(t, plain())
@@ -522,7 +561,7 @@
 	}{{"whole", 3.7, 3}, {"under one", 0.5, 1}}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			k := newCalls(c.share, 200)
+			k := calls{share: c.share, most: c.share, linger: 200}
 			n := 0
 			for k.take(0) {
 				n++
@@ -546,7 +585,7 @@
 
 // A crowded dependency stays crowded; fewer calls stand there until it is quick again.
 func TestCallsMakeWayForASlowDependency(t *testing.T) {
-	k := newCalls(20, 200)
+	k := calls{share: 20, most: 20, linger: 200}
 	play := func(n int, spent float64) float64 {
 		for range n {
 			k.take(0)
