--- a/control/control.go
+++ b/control/control.go
@@ -366,7 +366,6 @@
 	r := &c.in.rpc[i]
 	if !r.answered {
 		c.do(Action{Do: Abort, RPC: r.id})
-		c.learn(r)
 	}
 	r.answered = true
 	switch r.state {
@@ -384,19 +383,6 @@
 	}
 }
 
-// learn tells the pace of a run aborted late: if only those that end in time counted, all would seem
-// quick.
-func (c *Control) learn(r *rpc) {
-	below, p := r.below, &c.pace[r.method]
-	switch r.state {
-	case held, joined:
-		return
-	case standing, calling:
-		below += c.now - r.stood
-	}
-	p.learn(math.Max(c.now-r.began-below, c.est(r)), r.work, math.Max(below, p.below))
-}
-
 // left hears that a caller no longer waits.
 func (c *Control) left(i int) {
 	r := &c.in.rpc[i]
@@ -493,7 +479,7 @@
 	if gap := c.now - c.wake; gap > 3*period {
 		c.ramp.begin += gap // a stall ran the clock without traffic: the ramp's does not count it
 	}
-	c.limit.step(c.now, g.OnCores, g.CoreUse, c.active, c.hold.n)
+	c.limit.step(c.now, g.OnCores, c.active)
 	c.pressure.step(c.now, g.CoreUse)
 	if c.tries.step(c.now) {
 		c.do(Action{Do: IdleAfter, Time: c.tries.idle})
@@ -514,9 +500,6 @@
 	for i := range c.in.rpc {
 		c.review(i)
 	}
-	for i := range c.pace {
-		c.pace[i].fade()
-	}
 	c.wake = c.now + period
 	c.do(Action{Do: Arm, Time: c.wake})
 }
@@ -743,7 +726,6 @@
 	cold                 bool
 	cores, ceiling       float64
 	begin, start, warmBy float64
-	busy                 float64 // runs on the cores for each core, where others wait for disk
 	onCore               float64 // share of the runs that want a core, the others wait for disk
 	unread               float64 // wait of arrivals before they were read, in parts of the tightest latency target
 	now                  float64
@@ -751,19 +733,16 @@
 
 func newRunLimit(cores int, cold bool, start, warmBy, ceiling float64) runLimit {
 	return runLimit{
-		cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1, busy: 1.3,
+		cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1,
 	}
 }
 
 // read hears how long an arrival waited unread; about ten arrivals are remembered.
 func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) }
 
-func (l *runLimit) step(now, onCores, use float64, active, waiting int) {
+func (l *runLimit) step(now, onCores float64, active int) {
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
-	if waiting > 0 { // cores that idle while RPCs are held want more runs, full ones do with fewer
-		l.busy = math.Min(2, math.Max(1, l.busy+0.1*(0.97-use)))
-	}
 	if active > 0 && float64(active) >= l.cores/2 {
 		f := math.Min(1, onCores/float64(active))
 		l.onCore += weight * (f - l.onCore)
@@ -772,14 +751,17 @@
 
 // runs is the limit. The crowd that kills is told; it is kept to well under that, the less while cold.
 func (l *runLimit) runs() int {
-	const most = 0.7 // part of the crowd that kills: all may come back from disk at once, and some from calls
+	const (
+		most = 0.7 // part of the crowd that kills: all may come back from disk at once, and some from calls
+		busy = 1.3 // runs on the cores for each core where others wait for disk: these come back in bunches
+	)
 	speed := 1.0
 	if l.cold {
 		speed = math.Min(1, l.start+(1-l.start)*(l.now-l.begin)/l.warmBy)
 	}
 	per := 1.0
 	if l.onCore < 0.95 {
-		per = l.busy / l.onCore
+		per = busy / l.onCore
 	}
 	per = math.Min(per, most*(1+(l.ceiling-1)*speed))
 	return int(math.Max(1, math.Round(per*l.cores)))
@@ -790,7 +772,6 @@
 	spent, work, runs float64
 	below             float64 // mean time at calls
 	prior             float64
-	idle              float64 // time since a run ended
 	both              float64 // covariance of run time and hint, each over its mean
 	hint              float64 // variance of the hint over its mean
 }
@@ -806,19 +787,10 @@
 	spent = math.Max(1, spent) // a run that took no time tells no speed
 	p.spent, p.work, p.runs = p.spent*keep+spent, p.work*keep+work, p.runs*keep+1
 	p.below += (1 - keep) * (below - p.below)
-	p.idle = 0
 	s, w := spent*p.runs/p.spent-1, work*p.runs/p.work-1
 	p.both, p.hint = p.both*slow+(1-slow)*s*w, p.hint*slow+(1-slow)*w*w
 }
 
-// fade lets a high estimate fall by half in two seconds, once no run has ended for as long: what
-// was learnt in a hang must not keep a method from ever being tried again.
-func (p *pace) fade() {
-	if p.idle += period; p.idle > 2000 && p.spent/math.Max(1, p.runs)+p.below > 3*p.prior {
-		p.spent, p.below = 0.98*p.spent, 0.98*p.below
-	}
-}
-
 // run is the run time to expect. Rough hints overrate what they call heavy, so it is drawn to the mean.
 func (p *pace) run(work float64) float64 {
 	if p.runs < 1 {
