--- a/control/control.go
+++ b/control/control.go
@@ -366,6 +366,7 @@
 	r := &c.in.rpc[i]
 	if !r.answered {
 		c.do(Action{Do: Abort, RPC: r.id})
+		c.learn(r)
 	}
 	r.answered = true
 	switch r.state {
@@ -383,6 +384,19 @@
 	}
 }
 
+// learn tells the pace of a run aborted late: if only those that end in time counted, all would seem
+// quick.
+func (c *Control) learn(r *rpc) {
+	below, p := r.below, &c.pace[r.method]
+	switch r.state {
+	case held, joined:
+		return
+	case standing, calling:
+		below += c.now - r.stood
+	}
+	p.learn(math.Max(c.now-r.began-below, c.est(r)), r.work, math.Max(below, p.below))
+}
+
 // left hears that a caller no longer waits.
 func (c *Control) left(i int) {
 	r := &c.in.rpc[i]
@@ -500,6 +514,9 @@
 	for i := range c.in.rpc {
 		c.review(i)
 	}
+	for i := range c.pace {
+		c.pace[i].fade()
+	}
 	c.wake = c.now + period
 	c.do(Action{Do: Arm, Time: c.wake})
 }
@@ -772,6 +789,7 @@
 	spent, work, runs float64
 	below             float64 // mean time at calls
 	prior             float64
+	idle              float64 // time since a run ended
 	both              float64 // covariance of run time and hint, each over its mean
 	hint              float64 // variance of the hint over its mean
 }
@@ -787,10 +805,19 @@
 	spent = math.Max(1, spent) // a run that took no time tells no speed
 	p.spent, p.work, p.runs = p.spent*keep+spent, p.work*keep+work, p.runs*keep+1
 	p.below += (1 - keep) * (below - p.below)
+	p.idle = 0
 	s, w := spent*p.runs/p.spent-1, work*p.runs/p.work-1
 	p.both, p.hint = p.both*slow+(1-slow)*s*w, p.hint*slow+(1-slow)*w*w
 }
 
+// fade lets a high estimate fall by half in two seconds, once no run has ended for as long: what
+// was learnt in a hang must not keep a method from ever being tried again.
+func (p *pace) fade() {
+	if p.idle += period; p.idle > 2000 && p.spent/math.Max(1, p.runs)+p.below > 3*p.prior {
+		p.spent, p.below = 0.98*p.spent, 0.98*p.below
+	}
+}
+
 // run is the run time to expect. Rough hints overrate what they call heavy, so it is drawn to the mean.
 func (p *pace) run(work float64) float64 {
 	if p.runs < 1 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -311,7 +311,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			l := newRunLimit(2, c.cold, 0.2, 20000, 8)
 			for i := range 100 {
-				l.step(float64(i)*period, c.gauge.OnCores, c.gauge.CoreUse, 2, 1)
+				l.step(float64(i)*period, c.gauge.OnCores, 2)
 			}
 			if n := l.runs(); n > c.most || n < c.most/2 {
 				t.Errorf("%d runs on 2 cores, want at most %d", n, c.most)
