--- a/control/control.go
+++ b/control/control.go
@@ -495,7 +495,7 @@
 	}
 	c.limit.step(c.now, g.OnCores, c.active)
 	c.pressure.step(c.now, g.CoreUse)
-	if c.tries.step(c.now) {
+	if c.tries.step(c.now, c.limit.unread) {
 		c.do(Action{Do: IdleAfter, Time: c.tries.idle})
 	}
 	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
@@ -1003,13 +1003,14 @@
 // open fills the table, which slows the cores and shuts others out, so connections are closed soon. In a flood of
 // first tries that fills the cores with reading and opening, the full table is the one way to turn away what
 // costs nothing to read: they are kept longer the longer it lasts.
-func (t *tries) step(now float64) bool {
+func (t *tries) step(now, unread float64) bool {
 	const (
-		pace  = 200.0
-		least = 1000.0 // at a few callers each comes back sooner
-		flood = 3.0    // first tries for each run that ends: reading them takes half the cores or so
-		grow  = 1.15   // from a second to ten in three
-		fall  = 0.95   // and back in nine
+		pace   = 200.0
+		least  = 1000.0 // at a few callers each comes back sooner
+		flood  = 3.0    // first tries for each run that ends: reading them takes half the cores or so
+		unseen = 0.3    // of the tightest latency target waited unread: connections queue what is too old when read
+		grow   = 1.15   // from a second to ten in three
+		fall   = 0.95   // and back in nine
 	)
 	if now < t.next {
 		return false
@@ -1017,7 +1018,7 @@
 	t.next = now + pace
 	t.firsts, t.ends = 0.9*t.firsts, 0.9*t.ends
 	change := fall
-	if t.firsts > flood*math.Max(1, t.ends) {
+	if t.firsts > flood*math.Max(1, t.ends) || unread > unseen {
 		change = grow
 	}
 	t.idle = math.Min(t.most, math.Max(least, t.idle*change))
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -327,15 +327,16 @@
 		name          string
 		marks         bool
 		firsts, again int // read for each run that ends
-		idle          float64
+		unread, idle  float64
 		everywhere    bool
 	}{
-		{"calm", true, 1, 0, 1000, false},
-		{"calm, unmarked", false, 2, 0, 1000, false},
-		{"a server slow by itself reads first tries", true, 3, 0, 1000, false},
-		{"a storm of marked tries", true, 2, 4, 1000, true},
-		{"a flood of first tries", true, 6, 0, 20000, false},
-		{"a flood where nothing is marked", false, 6, 0, 20000, true},
+		{"calm", true, 1, 0, 0, 1000, false},
+		{"calm, unmarked", false, 2, 0, 0, 1000, false},
+		{"a server slow by itself reads first tries", true, 3, 0, 0, 1000, false},
+		{"a storm of marked tries", true, 2, 4, 0, 1000, true},
+		{"a storm that waits unread", true, 2, 4, 0.5, 20000, true},
+		{"a flood of first tries", true, 6, 0, 0, 20000, false},
+		{"a flood where nothing is marked", false, 6, 0, 0, 20000, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -348,7 +349,7 @@
 					p.read(true)
 				}
 				p.ends++
-				p.step(float64(i) * 200)
+				p.step(float64(i)*200, c.unread)
 			}
 			if p.idle != c.idle || p.everywhere() != c.everywhere {
 				t.Errorf("idle limit %v, pushed back everywhere %v", p.idle, p.everywhere())
