--- a/control/control.go
+++ b/control/control.go
@@ -270,7 +270,7 @@
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
 	}
-	return w < left*patience(r.rank, r.rel)
+	return w-c.est(r)/float64(c.limit.runs()) < left*patience(r.rank, r.rel)
 }
 
 // makeWay tells whether an RPC just read can be ok in time, and pushes back what is held and counts for less
