--- a/control/control.go
+++ b/control/control.go
@@ -181,7 +181,8 @@
 		c.push(i, math.Min(rampRetry, c.retry), false)
 	case hasty:
 		c.push(i, 0, false)
-	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) && !c.pause(&r) || !c.room(&r):
+	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room(&r):
+		c.tries.pushed += 1.0 / 32
 		c.signal.shed++
 		c.shed(i)
 	default:
@@ -230,15 +231,6 @@
 // est is the expected run time of an RPC without its calls.
 func (c *Control) est(r *rpc) float64 { return c.pace[r.method].run(r.work) }
 
-// rest is what of that is still to come. What outlasts its estimate is taken for near its end.
-func (c *Control) rest(r *rpc) float64 {
-	e, ran := c.est(r), r.ran
-	if r.state == running {
-		ran = c.now - r.began
-	}
-	return math.Max(e-ran, e/4)
-}
-
 // wait is the expected time in the hold of an RPC that would come last before target, if all that counts for less
 // than floor were pushed back.
 func (c *Control) wait(target, floor float64) float64 {
@@ -247,10 +239,11 @@
 		r := &c.in.rpc[i]
 		switch r.state {
 		case running:
-			ahead += c.rest(r)
+			e := c.est(r)
+			ahead += math.Max(e-(c.now-r.began), e/4)
 		case held:
 			if r.target <= target && r.value >= floor {
-				ahead += c.rest(r)
+				ahead += c.est(r)
 			}
 		}
 	}
@@ -294,7 +287,7 @@
 	for !c.feasible(r, 0) {
 		least := -1
 		for i := range c.in.rpc {
-			if o := &c.in.rpc[i]; o.state == held && o.ran == 0 && o.id != r.id && o.target <= r.target &&
+			if o := &c.in.rpc[i]; o.state == held && o.id != r.id && o.target <= r.target &&
 				(least < 0 || o.value < c.in.rpc[least].value) {
 				least = i
 			}
@@ -308,35 +301,6 @@
 	return true
 }
 
-// pause stops the run that can best wait, so that an RPC just read can be ok that no wait would leave time for.
-// Two long runs fill a small server, and what is wanted soonest would go from one such to the next, each
-// spending a read. It acts where work can be paused, what runs stays ok, and nobody more urgent is held.
-func (c *Control) pause(r *rpc) bool {
-	left := r.target - c.now - c.est(r) - c.pace[r.method].below
-	if c.node.Stop != StopPause || left < 0 || c.drain.on {
-		return false
-	}
-	best, most := -1, 0.0
-	for i := range c.in.rpc {
-		o := &c.in.rpc[i]
-		if o.state == held && o.id != r.id && o.target <= r.target {
-			return false
-		}
-		if o.state != running || o.answered || c.methods[o.method].Repeat != Idempotent || c.now < o.halted+2*period {
-			continue
-		}
-		if slack := o.target - c.now - c.rest(o) - c.pace[o.method].below - c.est(r); slack > most {
-			best, most = i, slack
-		}
-	}
-	if best < 0 {
-		return false
-	}
-	c.in.rpc[best].halted = c.now
-	c.do(Action{Do: Halt, RPC: c.in.rpc[best].id})
-	return true
-}
-
 // away is the advice that goes with an overload's pushback: until half the hold has drained. Callers that
 // stay away until all has find idle cores, and come back together. Further tries, which a storm is made of,
 // stay away for what waits unread as well.
@@ -377,10 +341,6 @@
 // shed pushes an RPC back for overload. A marked further try has met another full server before this one:
 // its caller is asked not to go on, or each read of it costs one more server.
 func (c *Control) shed(i int) {
-	if c.in.rpc[i].ran > 0 {
-		c.abort(i) // paused: it has run
-		return
-	}
 	again := c.in.rpc[i].again
 	c.push(i, c.away(again), again || c.tries.everywhere())
 }
@@ -395,7 +355,7 @@
 
 // forget drops the token of an RPC that never ran.
 func (c *Control) forget(r *rpc) {
-	if r.kept && r.state == held && r.ran == 0 {
+	if r.kept && r.state == held {
 		c.keys.drop(r.id, c.now)
 		c.do(Action{Do: Forget, RPC: r.id})
 	}
@@ -458,19 +418,12 @@
 	if r.state == calling {
 		c.calls.done(c.now, c.now-r.stood, TimedOut)
 	}
-	if ev.Outcome == Cancelled && !r.answered && r.state == running {
-		r.ran = c.now - r.began
-		r.state = held
-		c.active--
-		c.hold.add(c.in.rpc, i)
-		return
-	}
 	c.tries.ends++
 	if !r.answered && c.now-r.arrived > 1.3*c.habits[r.caller].mean {
 		delete(c.habits, r.caller) // this one waited longer
 	}
 	if ev.Outcome == OK && r.state == running {
-		spent := c.now - r.began - r.below
+		spent := ev.Spent - r.below
 		c.pace[r.method].learn(spent, r.work, r.below)
 		c.pressure.learn(r.method, c.now-r.arrived, c.methods[r.method].LatencyTarget)
 	}
@@ -546,7 +499,7 @@
 	if c.tries.step(c.now, c.limit.unread) {
 		c.do(Action{Do: IdleAfter, Time: c.tries.idle})
 	}
-	if !c.drain.on && c.health.step(c.now, c.limit.unread) {
+	if !c.drain.on && c.health.step(c.now, c.limit.unread, c.tries.alone()) {
 		c.do(Action{Do: Health, Good: c.health.good})
 	}
 	c.note(0, !c.ramp.warm, "ramp: begins, a share of callers taken", "ramp: over, all callers taken")
@@ -586,7 +539,7 @@
 		if m.LateShare > 0 {
 			last = r.due
 		}
-		if c.now >= due || c.now+doubt*c.rest(r)+c.pace[r.method].below > last {
+		if c.now >= due || c.now+doubt*c.est(r)+c.pace[r.method].below > last {
 			c.shed(i)
 		}
 	case c.now >= due:
@@ -609,19 +562,19 @@
 		}
 		i := c.hold.next(c.in.rpc, longRuns, runs)
 		r := &c.in.rpc[i]
-		more := r.heldKB*c.node.RunFactor - r.kb
+		more := r.heldKB * (c.node.RunFactor - 1)
 		if c.used+more+c.keys.used(c.now) > share*c.node.MemKB {
 			c.short = true
 			return
 		}
-		if c.now+doubt*c.rest(r) > r.target && c.methods[r.method].LateShare == 0 {
+		if c.now+doubt*c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
 			c.shed(i)
 			continue
 		}
 		c.hold.remove(i, r.line)
 		c.used += more
 		r.kb += more
-		r.began = c.now - r.ran
+		r.began = c.now
 		r.state = running
 		c.active++
 		c.do(Action{Do: Run, RPC: r.id})
@@ -996,22 +949,24 @@
 // whole is not taken off its list.
 type health struct {
 	good  bool
+	alone bool
 	since float64
 }
 
-func (h *health) step(now, unread float64) bool {
+func (h *health) step(now, unread float64, alone bool) bool {
 	const (
 		flooded = 2.0    // waits unread, in tightest latency targets: by far too old
 		calm    = 0.2    // well below, so that it is not flooded again at once
 		longest = 2500.0 // about as long as the list takes to follow
 		between = 8000.0 // at least two thirds of the time it is on the list
 	)
-	turn := unread > flooded && now > h.since+between
+	turn := (unread > flooded || alone) && now > h.since+between
 	if !h.good {
-		turn = unread < calm || now > h.since+longest
+		turn = unread < calm && !h.alone || now > h.since+longest
 	}
 	if turn {
 		h.good, h.since = !h.good, now
+		h.alone = alone
 	}
 	return turn
 }
@@ -1023,12 +978,14 @@
 	firsts                 float64 // first tries read, two seconds' worth
 	ends                   float64 // runs ended, the same
 	marked                 float64 // part of the latest tries that were marked
+	pushed                 float64
 	idle, told, most, next float64
 }
 
 func (t *tries) read(again bool) {
 	const weight = 1.0 / 32 // about as many tries of memory: some seconds of traffic
 	t.marked -= weight * t.marked
+	t.pushed -= weight * t.pushed
 	if again {
 		t.marked += weight
 	} else {
@@ -1047,6 +1004,9 @@
 	return t.marked > marked || !t.marks && t.firsts > t.ends/(1-lost)
 }
 
+// alone tells whether this server pushes back much and others do not.
+func (t *tries) alone() bool { return t.pushed > 0.3 && t.marks && t.marked < 0.25 }
+
 // step sets the idle limit. Most callers of a large fleet come back to one server long after: what they leave
 // open fills the table, which slows the cores and shuts others out, so connections are closed soon. In a flood of
 // first tries that fills the cores with reading and opening, the full table is the one way to turn away what
--- a/control/slab.go
+++ b/control/slab.go
@@ -30,8 +30,6 @@
 	kb       float64 // memory held now
 	heldKB   float64
 	began    float64 // start of its run
-	ran      float64 // paused: how long it has run, calls counted
-	halted   float64 // when it was last to be paused
 	below    float64 // time spent at calls so far
 	stood    float64 // when it came to stand at its call
 	line     int     // of the hold: short or long
