--- a/control/api.go
+++ b/control/api.go
@@ -68,6 +68,7 @@
 	Marks         bool    // further tries are marked
 	TellsTime     bool    // an RPC says how long its caller still waits
 	Say           Say     // how callers read the value that goes out with answers
+	Heeded        float64 // a caller acts for this long on what it was told
 	Idle          float64 // callers close connections idle for this long
 	MaxRetryAfter float64 // longest advice to stay away that is honoured; 0 when none is passed on
 	OverShare     float64 // what an RPC beyond its customer's share keeps of its criticality
--- a/control/control.go
+++ b/control/control.go
@@ -68,7 +68,7 @@
 		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
 		keys:      keys{kb: node.KeyKB},
 		calls:     calls{share: below.Share, most: below.Share, linger: below.Linger},
-		tries:     tries{marks: fleet.Marks, told: fleet.Idle, most: fleet.Idle},
+		tries:     tries{marks: fleet.Marks, reach: fleet.Heeded / 1000 / float64(fleet.Callers), told: fleet.Idle, most: fleet.Idle},
 		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
 		habits:    map[uint16]habit{},
@@ -978,7 +978,7 @@
 	firsts                 float64 // first tries read, two seconds' worth
 	ends                   float64 // runs ended, the same
 	marked                 float64 // part of the latest tries that were marked
-	pushed                 float64
+	pushed, reach          float64
 	idle, told, most, next float64
 }
 
@@ -1005,7 +1005,9 @@
 }
 
 // alone tells whether this server pushes back much and others do not.
-func (t *tries) alone() bool { return t.pushed > 0.3 && t.marks && t.marked < 0.25 }
+func (t *tries) alone() bool {
+	return t.pushed > 0.3 && t.marks && t.marked < 0.25 && t.firsts*t.reach < 1
+}
 
 // step sets the idle limit. Most callers of a large fleet come back to one server long after: what they leave
 // open fills the table, which slows the cores and shuts others out, so connections are closed soon. In a flood of
--- a/internal/simwire/opening.go
+++ b/internal/simwire/opening.go
@@ -56,6 +56,7 @@
 			Callers:       max(1, int(l.num("family_info.callers", 1))),
 			Marks:         l.yes("client_habits.marks_retry"),
 			TellsTime:     l.yes("family_info.passes_deadline"),
+			Heeded:        l.ms("family_info.heeded", 1e9),
 			Idle:          l.ms("family_info.idle", 30e9),
 			MaxRetryAfter: l.ms("limits.max_retry_after", 0),
 			OverShare:     l.num("over_share_worth", 1),
