--- a/control/control.go
+++ b/control/control.go
@@ -957,8 +957,8 @@
 	const (
 		flooded = 2.0    // waits unread, in tightest latency targets: by far too old
 		calm    = 0.2    // well below, so that it is not flooded again at once
-		longest = 2500.0 // about as long as the list takes to follow
-		between = 8000.0 // at least two thirds of the time it is on the list
+		longest = 1000.0 // about as long as the list takes to follow
+		between = 3000.0 // at least two thirds of the time it is on the list
 	)
 	turn := (unread > flooded || alone) && now > h.since+between
 	if !h.good {
