--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	now              float64
 	in               slab    // the RPCs in hand
 	wake             float64 // when the next timer should come
+	looks            int     // timers so far
 	short            bool    // memory has kept something out since the last look
 	noted            [5]bool
 	used             float64 // memory of the RPCs in hand
@@ -62,10 +63,13 @@
 ) *Control {
 	c := &Control{
 		node: node, methods: methods, grace: rules.DrainGrace, retry: fleet.MaxRetryAfter,
-		in:        slab{byID: map[uint32]int{}},
-		ramp:      newRamp(node.Cold, node.WarmBy, fleet.Callers, node.Seed),
-		pressure:  pressure{share: 1, late: make([]float64, len(methods))},
-		limit:     newRunLimit(node.Cores, node.Cold, node.StartSpeed, node.WarmBy, rules.Ceiling),
+		in:       slab{byID: map[uint32]int{}},
+		ramp:     newRamp(node.Cold, node.WarmBy, fleet.Callers, node.Seed),
+		pressure: pressure{share: 1, late: make([]float64, len(methods))},
+		limit: runLimit{
+			cores: float64(node.Cores), cold: node.Cold, start: node.StartSpeed, warmBy: node.WarmBy,
+			ceiling: rules.Ceiling, onCore: 1,
+		},
 		keys:      keys{kb: node.KeyKB},
 		calls:     calls{share: below.Share, most: below.Share, linger: below.Linger},
 		tries:     tries{marks: fleet.Marks, reach: fleet.Heeded / 1000 / float64(fleet.Callers), told: fleet.Idle, most: fleet.Idle},
@@ -82,7 +86,7 @@
 		c.tightest = math.Min(c.tightest, target)
 	}
 	for _, cu := range customers {
-		c.shares = append(c.shares, newShare(cu.Quota, fleet.Peers))
+		c.shares = append(c.shares, share{rate: cu.Quota / float64(fleet.Peers) / 1000})
 	}
 	return c
 }
@@ -117,6 +121,9 @@
 		}
 	case Notice:
 		c.drain = drain{on: true, since: now, stop: now + ev.Time}
+		for i := range c.in.rpc {
+			c.drain.bound(&c.in.rpc[i])
+		}
 		c.do(Action{Do: Health}, Action{Do: Note, Text: "drain: notice to leave"})
 	case Timer:
 		c.tick(&ev.Gauges)
@@ -147,9 +154,10 @@
 		age = meth.LatencyTarget / 4 // nothing tells; a quarter lies between a prompt and a patient caller
 	}
 	r.target = math.Min(r.arrived+meth.LatencyTarget+meth.Stretch*ev.Hint-age, r.due)
+	c.drain.bound(&r)
 	hasty := !c.tells && ev.Hint > 0 && r.arrived+c.habits[ev.Caller].wait() < c.now+c.est(&r)
 	if ev.Customer < len(c.shares) {
-		in := c.shares[ev.Customer].within(c.now, ev.Retry)
+		in := c.shares[ev.Customer].within(c.now, c.limit.begin, ev.Retry)
 		r.value *= in + (1-in)*c.overShare
 	}
 	r.rank, r.rel = c.ranks.of(r.value)
@@ -172,7 +180,6 @@
 		c.do(Action{Do: Join, RPC: ev.RPC})
 		return
 	}
-	c.signal.seen++
 	idle := ev.Retry && c.hold.n == 0 && c.active < c.limit.runs() // others were full, here a run is free
 	switch {
 	case late:
@@ -183,7 +190,6 @@
 		c.push(i, 0, false)
 	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room(&r):
 		c.tries.pushed += 1.0 / 32
-		c.signal.shed++
 		c.shed(i)
 	default:
 		if meth.Repeat == Tokened {
@@ -264,9 +270,6 @@
 func (c *Control) feasible(r *rpc, floor float64) bool {
 	p := &c.pace[r.method]
 	left := r.target - c.now - c.est(r) - p.below
-	if c.drain.on {
-		left = math.Min(left, c.drain.stop-c.now-c.est(r)-p.below-2*period)
-	}
 	w := c.wait(r.target, floor)
 	if w == 0 {
 		return left+(1-doubt)*c.est(r) > 0
@@ -277,28 +280,21 @@
 // makeWay tells whether an RPC just read can be ok in time, and pushes back what is held and counts for less
 // if it must: the least valuable first.
 func (c *Control) makeWay(r *rpc) bool {
-	const less = 0.8 // of the value
-	if c.feasible(r, 0) {
-		return true
-	}
-	if !c.feasible(r, less*r.value) {
-		return false
-	}
-	for !c.feasible(r, 0) {
+	const less = 0.8 // of the value: near equal ones stay
+	for c.feasible(r, less*r.value) {
+		if c.feasible(r, 0) {
+			return true
+		}
 		least := -1
 		for i := range c.in.rpc {
-			if o := &c.in.rpc[i]; o.state == held && o.id != r.id && o.target <= r.target &&
+			if o := &c.in.rpc[i]; o.state == held && o.target <= r.target && o.value < less*r.value &&
 				(least < 0 || o.value < c.in.rpc[least].value) {
 				least = i
 			}
 		}
-		if least < 0 || c.in.rpc[least].value >= less*r.value {
-			return false
-		}
-		c.signal.shed++
 		c.shed(least)
 	}
-	return true
+	return false
 }
 
 // away is the advice that goes with an overload's pushback: until half the hold has drained. Callers that
@@ -367,7 +363,9 @@
 	r := &c.in.rpc[i]
 	if !r.answered {
 		c.do(Action{Do: Abort, RPC: r.id})
-		c.learn(r)
+		if r.state == running { // if only those that end in time counted, all would seem quick
+			c.pace[r.method].learn(math.Max(c.now-r.began-r.below, c.est(r)), r.work, r.below)
+		}
 	}
 	r.answered = true
 	switch r.state {
@@ -385,19 +383,6 @@
 	}
 }
 
-// learn tells the pace of a run aborted late: if only those that end in time counted, all would seem
-// quick.
-func (c *Control) learn(r *rpc) {
-	below, p := r.below, &c.pace[r.method]
-	switch r.state {
-	case held, joined:
-		return
-	case standing, calling:
-		below += c.now - r.stood
-	}
-	p.learn(math.Max(c.now-r.began-below, c.est(r)), r.work, math.Max(below, p.below))
-}
-
 // left hears that a caller no longer waits.
 func (c *Control) left(i int) {
 	r := &c.in.rpc[i]
@@ -479,13 +464,8 @@
 	case c.methods[r.method].Repeat != Idempotent && ev.Outcome != Full && ev.Outcome != Unreachable:
 		c.abort(i) // an effect below is not asked for again unless the call before is known not to have run
 	}
-	c.standing()
-}
-
-// standing makes the calls that had to wait.
-func (c *Control) standing() {
 	for i := range c.in.rpc {
-		c.call(i)
+		c.call(i) // those that had to wait
 	}
 }
 
@@ -495,9 +475,15 @@
 		c.ramp.begin += gap // a stall ran the clock without traffic: the ramp's does not count it
 	}
 	c.limit.step(c.now, g.OnCores, c.active)
-	c.pressure.step(c.now, g.CoreUse)
-	if c.tries.step(c.now, c.limit.unread) {
-		c.do(Action{Do: IdleAfter, Time: c.tries.idle})
+	if c.looks++; c.looks%5 == 0 { // twice in the half second that the gauge covers
+		c.pressure.step(g.CoreUse)
+		if c.tries.step(c.limit.unread) {
+			c.do(Action{Do: IdleAfter, Time: c.tries.idle})
+		}
+		inTime := float64(c.limit.runs()) * (1 + c.tightest/2/c.usual()) // RPCs in hand that can still be ok
+		if v, say := c.signal.step(inTime, c.limit.unread, c.tries.pushed); say {
+			c.do(Action{Do: Tell, Value: v})
+		}
 	}
 	if !c.drain.on && c.health.step(c.now, c.limit.unread, c.tries.alone()) {
 		c.do(Action{Do: Health, Good: c.health.good})
@@ -508,10 +494,6 @@
 	c.note(3, c.short, "memory: no room for more", "memory: room again")
 	c.note(4, 2*c.calls.most < c.calls.share, "calls: fewer in hand, slow below", "calls: as many as before")
 	c.short = false
-	inTime := float64(c.limit.runs()) * (1 + c.tightest/2/c.usual()) // RPCs in hand that can still be ok
-	if v, say := c.signal.step(c.now, inTime, c.limit.unread); say {
-		c.do(Action{Do: Tell, Value: v})
-	}
 	for i := range c.in.rpc {
 		c.review(i)
 	}
@@ -529,9 +511,6 @@
 		return
 	}
 	due := r.due - period
-	if c.drain.on {
-		due = math.Min(due, c.drain.stop-2*period)
-	}
 	m := &c.methods[r.method]
 	switch {
 	case r.state == held:
@@ -642,7 +621,6 @@
 type pressure struct {
 	share float64
 	late  []float64 // per method: latency of runs over the part of the latency target they may take
-	next  float64
 }
 
 // targetPart of the latency target is what runs may take in the mean: the rest is for the way and spread.
@@ -654,16 +632,11 @@
 }
 
 // step moves the share.
-func (p *pressure) step(now, busy float64) {
+func (p *pressure) step(busy float64) {
 	const (
-		pace = 200.0 // twice in the half second that the gauge covers
-		cut  = 0.95  // halves the share in under three seconds
-		rise = 0.02  // from a half to all in five
+		cut  = 0.95 // halves the share in under three seconds
+		rise = 0.02 // from a half to all in five
 	)
-	if now < p.next {
-		return
-	}
-	p.next = now + pace
 	late := false
 	for _, l := range p.late {
 		late = late || l > 1
@@ -749,12 +722,6 @@
 	now                  float64
 }
 
-func newRunLimit(cores int, cold bool, start, warmBy, ceiling float64) runLimit {
-	return runLimit{
-		cores: float64(cores), cold: cold, start: start, warmBy: warmBy, ceiling: ceiling, onCore: 1,
-	}
-}
-
 // read hears how long an arrival waited unread; about ten arrivals are remembered.
 func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) }
 
@@ -830,30 +797,24 @@
 
 // share measures how much of a customer's traffic lies within this server's part of its quota.
 type share struct {
-	rate        float64 // RPCs a millisecond within the share
-	count       float64 // first tries of late, older ones weighing less
-	first, last float64
-}
-
-func newShare(quota float64, peers int) share {
-	return share{rate: quota / float64(peers) / 1000, first: -1}
+	rate  float64 // RPCs a millisecond within the share
+	count float64 // first tries of late, older ones weighing less
+	last  float64
 }
 
 // within counts an RPC and returns the part of such RPCs that lies within the share.
-func (s *share) within(now float64, again bool) float64 {
+func (s *share) within(now, begin float64, again bool) float64 {
 	const memory = 4000.0 // long enough to count some tens of RPCs, short enough to see a burst
 	if s.rate == 0 {
 		return 1
 	}
-	if s.first < 0 {
-		s.first = now - 1000 // the first second is too short to tell a rate
-	}
+	age := now - begin + 1000 // the first second is too short to tell a rate
 	s.count *= math.Exp((s.last - now) / memory)
 	s.last = now
 	if !again {
 		s.count++
 	}
-	return math.Min(1, s.rate*memory*(1-math.Exp((s.first-now)/memory))/s.count)
+	return math.Min(1, s.rate*memory*(1-math.Exp(-age/memory))/s.count)
 }
 
 // calls are the calls in hand below. A shared dependency limits them to this node's share at every
@@ -944,29 +905,34 @@
 	since, stop float64
 }
 
+// bound lets an RPC be answered before the stop, by a look at what falls due to spare.
+func (d *drain) bound(r *rpc) {
+	if d.on {
+		r.due = math.Min(r.due, d.stop-period)
+		r.target = math.Min(r.target, r.due)
+	}
+}
+
 // health is what checks are told. It says no while all that arrives waits unread until it is too old:
 // only staying away lets such a server catch up. It stays short and rare, so that a fleet flooded as a
 // whole is not taken off its list.
 type health struct {
 	good  bool
-	alone bool
 	since float64
 }
 
 func (h *health) step(now, unread float64, alone bool) bool {
 	const (
 		flooded = 2.0    // waits unread, in tightest latency targets: by far too old
-		calm    = 0.2    // well below, so that it is not flooded again at once
 		longest = 1000.0 // about as long as the list takes to follow
 		between = 3000.0 // at least two thirds of the time it is on the list
 	)
 	turn := (unread > flooded || alone) && now > h.since+between
 	if !h.good {
-		turn = unread < calm && !h.alone || now > h.since+longest
+		turn = now > h.since+longest
 	}
 	if turn {
 		h.good, h.since = !h.good, now
-		h.alone = alone
 	}
 	return turn
 }
@@ -974,12 +940,12 @@
 // tries tells from what has been read of late whether servers push back all over the fleet, and sets after what
 // time idle connections are closed. Where further tries are not marked all count as first ones.
 type tries struct {
-	marks                  bool
-	firsts                 float64 // first tries read, two seconds' worth
-	ends                   float64 // runs ended, the same
-	marked                 float64 // part of the latest tries that were marked
-	pushed, reach          float64
-	idle, told, most, next float64
+	marks            bool
+	firsts           float64 // first tries read, two seconds' worth
+	ends             float64 // runs ended, the same
+	marked           float64 // part of the latest tries that were marked
+	pushed, reach    float64
+	idle, told, most float64
 }
 
 func (t *tries) read(again bool) {
@@ -1013,19 +979,14 @@
 // open fills the table, which slows the cores and shuts others out, so connections are closed soon. In a flood of
 // first tries that fills the cores with reading and opening, the full table is the one way to turn away what
 // costs nothing to read: they are kept longer the longer it lasts.
-func (t *tries) step(now, unread float64) bool {
+func (t *tries) step(unread float64) bool {
 	const (
-		pace   = 200.0
 		least  = 1000.0 // at a few callers each comes back sooner
 		flood  = 3.0    // first tries for each run that ends: reading them takes half the cores or so
 		unseen = 0.3    // of the tightest latency target waited unread: connections queue what is too old when read
 		grow   = 1.15   // from a second to ten in three
 		fall   = 0.95   // and back in nine
 	)
-	if now < t.next {
-		return false
-	}
-	t.next = now + pace
 	t.firsts, t.ends = 0.9*t.firsts, 0.9*t.ends
 	change := fall
 	if t.firsts > flood*math.Max(1, t.ends) || unread > unseen {
@@ -1041,30 +1002,27 @@
 
 // signal is the value that goes out with answers.
 type signal struct {
-	say               Say
-	callers           float64
-	seen, shed        int
-	level, told, next float64
+	say         Say
+	callers     float64
+	level, told float64
 }
 
 // step moves the level so that what this server would push back for overload is not sent at all; a window
 // is what it can hold in time, over its callers.
-func (s *signal) step(now, inTime, unread float64) (float64, bool) {
+func (s *signal) step(inTime, unread, pushed float64) (float64, bool) {
 	const (
-		pace  = 250.0
 		gain  = 0.1 // with a tenth more pushed back than allowed the level rises by a hundredth a step
 		allow = 0.1 // pushed back without a rise: what stands lower makes the level fall again in some seconds
 		most  = 0.9
 		each  = 2.0 // windows for each place: callers are seldom equal and seldom all at their windows
 	)
-	if now < s.next || s.say == SayNone || s.say == SayShare {
+	if s.say == SayNone || s.say == SayShare {
 		return 0, false
 	}
-	s.next = now + pace
 	v, least := math.Max(1, math.Round(each*inTime/s.callers)), s.told/5
 	if s.say == SayLevel {
-		s.level = math.Min(most, math.Max(0, s.level+gain*(float64(s.shed)/float64(max(1, s.seen))-allow)))
-		s.seen, s.shed, v, least = 0, 0, s.level, 0.01
+		s.level = math.Min(most, math.Max(0, s.level+gain*(pushed-allow)))
+		v, least = s.level, 0.01
 		if unread > 1 {
 			v = 1 // all that comes is too old when read; heard once, it holds a second or so
 		}
