--- a/control/control.go
+++ b/control/control.go
@@ -162,6 +162,7 @@
 	}
 	r.rank, r.rel = c.ranks.of(r.value)
 	c.limit.read(ev.Waited / c.tightest)
+	c.signal.seen++
 	c.tries.read(ev.Retry)
 	i := c.in.add(r)
 	c.used += r.kb
@@ -190,6 +191,7 @@
 		c.push(i, 0, false)
 	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room(&r):
 		c.tries.pushed += 1.0 / 32
+		c.signal.shed++
 		c.shed(i)
 	default:
 		if meth.Repeat == Tokened {
@@ -1005,6 +1007,7 @@
 	say         Say
 	callers     float64
 	level, told float64
+	seen, shed int
 }
 
 // step moves the level so that what this server would push back for overload is not sent at all; a window
@@ -1021,8 +1024,9 @@
 	}
 	v, least := math.Max(1, math.Round(each*inTime/s.callers)), s.told/5
 	if s.say == SayLevel {
-		s.level = math.Min(most, math.Max(0, s.level+gain*(pushed-allow)))
+		s.level = math.Min(most, math.Max(0, s.level+gain*(float64(s.shed)/float64(max(1, s.seen))-allow)))
 		v, least = s.level, 0.01
+		s.seen, s.shed = 0, 0
 		if unread > 1 {
 			v = 1 // all that comes is too old when read; heard once, it holds a second or so
 		}
