--- a/control/control.go
+++ b/control/control.go
@@ -1,15 +1,13 @@
 // Package control decides for one server which RPCs it takes, runs and turns away.
 //
-// It is called through one entry point: New makes an instance from what is told at start, and Handle
-// takes one event with the clock and returns the actions that answer it, to be carried out in that order.
-// The returned slice is valid until the next call. The types of events, actions and start-up facts stand
-// in api.go. An instance shares nothing, reads no clock of its own, and the same events give the same
-// actions.
+// It is called through one entry point: New makes an instance from what is told at start, and Handle takes
+// one event with the clock and returns the actions that answer it, to be carried out in that order. The
+// returned slice is valid until the next call. The types of events, actions and start-up facts stand in
+// api.go. An instance shares nothing, reads no clock of its own, and the same events give the same actions.
 //
-// The ordinary path: the ramp lets in a rising share of callers after a cold start, the pressure loop
-// sets the share of arrivals taken, then the arrival is held if it can still be ok in time, and run when
-// the run limit has room. Everything else guards the rules: memory, crowd, tokens, calls below, due
-// answers, drain.
+// The ordinary path: the ramp lets in a rising share of callers after a cold start, the pressure loop sets
+// the share of arrivals taken, then the arrival is held if it can still be ok in time, and run when the run
+// limit has room. Everything else guards the rules: memory, crowd, tokens, calls below, due answers, drain.
 package control
 
 import (
@@ -18,8 +16,8 @@
 	"slices"
 )
 
-// period is the time between two looks at the gauges and at what falls due. It lies under the slack
-// of answers, and twenty-five looks a second cost a server well under a thousandth of a core.
+// period is the time between two looks at the gauges and at what falls due. It lies under the slack of
+// answers, and twenty-five looks a second cost a server well under a thousandth of a core.
 const period = 40.0
 
 // Control is one instance.
@@ -70,9 +68,11 @@
 			cores: float64(node.Cores), cold: node.Cold, start: node.StartSpeed, warmBy: node.WarmBy,
 			ceiling: rules.Ceiling, onCore: 1,
 		},
-		keys:      keys{kb: node.KeyKB},
-		calls:     calls{share: below.Share, most: below.Share, linger: below.Linger},
-		tries:     tries{marks: fleet.Marks, reach: fleet.Heeded / 1000 / float64(fleet.Callers), told: fleet.Idle, most: fleet.Idle},
+		keys:  keys{kb: node.KeyKB},
+		calls: calls{share: below.Share, most: below.Share, linger: below.Linger},
+		tries: tries{
+			marks: fleet.Marks, reach: fleet.Heeded / 1000 / float64(fleet.Callers), told: fleet.Idle, most: fleet.Idle,
+		},
 		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
 		habits:    map[uint16]habit{},
@@ -168,9 +168,9 @@
 	c.used += r.kb
 	late := c.drain.on && (r.arrived > c.drain.since+c.grace-c.node.Tick || c.now > c.drain.stop-2*period)
 
-	// A repeat of a remembered RPC is joined: it must neither run again nor, once any try has run, be
-	// pushed back. An original never seen here (two tries of one batch name each other) is no reason to
-	// join: the first is taken.
+	// A repeat of a remembered RPC is joined: it must neither run again nor, once any try has run, be pushed
+	// back. An original never seen here (two tries of one batch name each other) is no reason to join: the
+	// first is taken.
 	_, inHand := c.in.byID[ev.Original]
 	if ev.Original != 0 && (inHand || c.keys.knows(ev.Original)) {
 		if late || !c.room(&r) {
@@ -225,9 +225,9 @@
 	return t / n
 }
 
-// patience is the part of the time before the latency target that an RPC may wait in the hold. What
-// counts for more may wait longer, so in overload the hold stands where the least of it is pushed back,
-// at once, and the rest gets in.
+// patience is the part of the time before the latency target that an RPC may wait in the hold. What counts
+// for more may wait longer, so in overload the hold stands where the least of it is pushed back, at once,
+// and the rest gets in.
 func patience(rank, rel float64) float64 {
 	const (
 		least = 0.05 // the least valuable of all come in while runs are free, and hardly else
@@ -239,8 +239,8 @@
 // est is the expected run time of an RPC without its calls.
 func (c *Control) est(r *rpc) float64 { return c.pace[r.method].run(r.work) }
 
-// wait is the expected time in the hold of an RPC that would come last before target, if all that counts for less
-// than floor were pushed back.
+// wait is the expected time in the hold of an RPC that would come last before target, if all that counts
+// for less than floor were pushed back.
 func (c *Control) wait(target, floor float64) float64 {
 	ahead := 0.0
 	for i := range c.in.rpc {
@@ -262,9 +262,9 @@
 	return ahead / n
 }
 
-// doubt is the part of its expected run time by which one RPC's own is trusted to be no shorter: hints
-// are rough, and a run that has a core to itself costs little if it comes late. Heavy work counts most
-// where work is counted.
+// doubt is the part of its expected run time by which one RPC's own is trusted to be no shorter: hints are
+// rough, and a run that has a core to itself costs little if it comes late. Heavy work counts most where
+// work is counted.
 const doubt = 0.5
 
 // feasible tells whether an RPC just read can be ok in time, with the patience that its criticality gives
@@ -279,8 +279,8 @@
 	return w-c.est(r)/float64(c.limit.runs()) < left*patience(r.rank, r.rel)
 }
 
-// makeWay tells whether an RPC just read can be ok in time, and pushes back what is held and counts for less
-// if it must: the least valuable first.
+// makeWay tells whether an RPC just read can be ok in time, and pushes back what is held and counts for
+// less if it must: the least valuable first.
 func (c *Control) makeWay(r *rpc) bool {
 	const less = 0.8 // of the value: near equal ones stay
 	for c.feasible(r, less*r.value) {
@@ -359,8 +359,8 @@
 	}
 }
 
-// abort answers an RPC with an error. Running work that can be stopped is stopped, unless it has an
-// effect, which a repeat may still ask for.
+// abort answers an RPC with an error. Running work that can be stopped is stopped, unless it has an effect,
+// which a repeat may still ask for.
 func (c *Control) abort(i int) {
 	r := &c.in.rpc[i]
 	if !r.answered {
@@ -587,8 +587,8 @@
 // finest is the least number of shares: the ramp's steps are a twentieth of the traffic at most.
 const finest = 20
 
-// slowest makes the ramp's length of the longest warm-up told: most servers are warm well before, and
-// what the ramp pushes back the rest of a fleet that is being replaced must run.
+// slowest makes the ramp's length of the longest warm-up told: most servers are warm well before, and what
+// the ramp pushes back the rest of a fleet that is being replaced must run.
 const slowest = 0.5
 
 func newRamp(cold bool, warmBy float64, callers int, salt uint64) ramp {
@@ -596,9 +596,8 @@
 	return ramp{warm: !cold, length: slowest * warmBy, parts: parts, salt: salt}
 }
 
-// takes tells whether the ramp lets a caller in. The share never falls, so a caller once in stays in.
-// Where callers are few, each is split by subject: a hashed share of three callers is no share of the
-// traffic.
+// takes tells whether the ramp lets a caller in. The share never falls, so a caller once in stays in. Where
+// callers are few, each is split by subject: a hashed share of three callers is no share of the traffic.
 func (p *ramp) takes(now float64, caller uint16, subject uint64, id uint32) bool {
 	if p.warm {
 		return true
@@ -663,8 +662,8 @@
 	n     int
 }
 
-// of adds a value and returns the part of the others that lie below it, equals counting half, and the value over
-// their mean.
+// of adds a value and returns the part of the others that lie below it, equals counting half, and the value
+// over their mean.
 func (k *ranks) of(v float64) (rank, rel float64) {
 	k.value[k.n%len(k.value)] = v
 	k.n++
@@ -720,7 +719,7 @@
 	cores, ceiling       float64
 	begin, start, warmBy float64
 	onCore               float64 // share of the runs that want a core, the others wait for disk
-	unread               float64 // wait of arrivals before they were read, in parts of the tightest latency target
+	unread               float64 // wait of arrivals before they were read, over the tightest latency target
 	now                  float64
 }
 
@@ -780,8 +779,8 @@
 	p.both, p.hint = p.both*slow+(1-slow)*s*w, p.hint*slow+(1-slow)*w*w
 }
 
-// fade lets a high estimate fall by half in two seconds, once no run has ended for as long: what
-// was learnt in a hang must not keep a method from ever being tried again.
+// fade lets a high estimate fall by half in two seconds, once no run has ended for as long: what was learnt
+// in a hang must not keep a method from ever being tried again.
 func (p *pace) fade() {
 	if p.idle += period; p.idle > 2000 && p.spent/math.Max(1, p.runs)+p.below > 3*p.prior {
 		p.spent, p.below = 0.98*p.spent, 0.98*p.below
@@ -819,8 +818,8 @@
 	return math.Min(1, s.rate*memory*(1-math.Exp(-age/memory))/s.count)
 }
 
-// calls are the calls in hand below. A shared dependency limits them to this node's share at every
-// moment, so that the mean is kept whatever the others do.
+// calls are the calls in hand below. A shared dependency limits them to this node's share at every moment,
+// so that the mean is kept whatever the others do.
 type calls struct {
 	share  float64 // 0 where nothing is shared
 	most   float64 // of that, what keeps it quick
@@ -834,15 +833,8 @@
 
 // take books a call if there is room for it.
 func (k *calls) take(now float64) bool {
-	n := 0
-	for _, t := range k.ghosts {
-		if t > now {
-			k.ghosts[n] = t
-			n++
-		}
-	}
-	k.ghosts = k.ghosts[:n]
-	if k.share > 0 && (float64(k.inHand+n) >= math.Max(1, math.Floor(k.most)) || now < k.rest) {
+	k.ghosts = slices.DeleteFunc(k.ghosts, func(until float64) bool { return until <= now })
+	if k.share > 0 && (float64(k.inHand+len(k.ghosts)) >= math.Max(1, math.Floor(k.most)) || now < k.rest) {
 		return false
 	}
 	k.inHand++
@@ -859,9 +851,9 @@
 	if k.share > 0 && k.share < 1 {
 		k.rest = now + spent*(1/k.share-1)
 	}
-	// A crowded dependency slows all and stays crowded: callers wait longer, so more calls stand there.
-	// Fewer calls in hand let it recover whatever slowed it; where it is slow for another reason this
-	// costs what queues here instead.
+	// A crowded dependency slows all and stays crowded: callers wait longer, so more calls stand there. Fewer
+	// calls in hand let it recover whatever slowed it; where it is slow for another reason this costs what
+	// queues here instead.
 	const slow = 2.5 // times as long as when quick: above the spread of single calls
 	if how == OK {
 		if k.quick == 0 {
@@ -915,9 +907,9 @@
 	}
 }
 
-// health is what checks are told. It says no while all that arrives waits unread until it is too old:
-// only staying away lets such a server catch up. It stays short and rare, so that a fleet flooded as a
-// whole is not taken off its list.
+// health is what checks are told. It says no while all that arrives waits unread until it is too old, as
+// only staying away lets such a server catch up, and while this server alone pushes back much. It stays
+// short and rare, so that a fleet flooded as a whole is not taken off its list.
 type health struct {
 	good  bool
 	since float64
@@ -926,8 +918,8 @@
 func (h *health) step(now, unread float64, alone bool) bool {
 	const (
 		flooded = 2.0    // waits unread, in tightest latency targets: by far too old
-		longest = 1000.0 // about as long as the list takes to follow
-		between = 3000.0 // at least two thirds of the time it is on the list
+		longest = 1000.0 // about what the hold takes to drain; longer, callers find it idle and then all come back
+		between = 3000.0 // at least three quarters of the time it is on the list
 	)
 	turn := (unread > flooded || alone) && now > h.since+between
 	if !h.good {
@@ -939,8 +931,8 @@
 	return turn
 }
 
-// tries tells from what has been read of late whether servers push back all over the fleet, and sets after what
-// time idle connections are closed. Where further tries are not marked all count as first ones.
+// tries tells from what has been read of late whether servers push back all over the fleet, and sets after
+// what time idle connections are closed. Where further tries are not marked all count as first ones.
 type tries struct {
 	marks            bool
 	firsts           float64 // first tries read, two seconds' worth
@@ -961,9 +953,9 @@
 	}
 }
 
-// everywhere tells whether a pushback would most likely meet the next. Each costs the fleet a read and often a
-// connection, a fifth of a run together, and where all are full it gains nothing but the place of another RPC. A
-// server that is slow by itself reads few marked tries, so those that it can't take go on.
+// everywhere tells whether a pushback would most likely meet the next. Each costs the fleet a read and
+// often a connection, a fifth of a run together, and where all are full it gains nothing but the place of
+// another RPC. A server that is slow by itself reads few marked tries, so those that it can't take go on.
 func (t *tries) everywhere() bool {
 	const (
 		marked = 0.25 // of the tries pushed back elsewhere: a fleet with room for most has under a tenth
@@ -972,15 +964,22 @@
 	return t.marked > marked || !t.marks && t.firsts > t.ends/(1-lost)
 }
 
-// alone tells whether this server pushes back much and others do not.
+// alone tells whether this server pushes back much and others do not, and its callers hear from it too
+// seldom to heed what it says: it is slower than the rest or draws more, and the list has to tell them. It
+// guards against slow machines and hot subjects; where no caller tries again, a fleet that is full looks
+// the same.
 func (t *tries) alone() bool {
-	return t.pushed > 0.3 && t.marks && t.marked < 0.25 && t.firsts*t.reach < 1
+	const (
+		much = 0.3  // pushed back: a server of the usual load has half of that by chance
+		few  = 0.25 // marked, as above
+	)
+	return t.marks && t.pushed > much && t.marked < few && t.firsts*t.reach < 1
 }
 
-// step sets the idle limit. Most callers of a large fleet come back to one server long after: what they leave
-// open fills the table, which slows the cores and shuts others out, so connections are closed soon. In a flood of
-// first tries that fills the cores with reading and opening, the full table is the one way to turn away what
-// costs nothing to read: they are kept longer the longer it lasts.
+// step sets the idle limit. Most callers of a large fleet come back to one server long after: what they
+// leave open fills the table, which slows the cores and shuts others out, so connections are closed soon.
+// In a flood of first tries that fills the cores with reading and opening, the full table is the one way to
+// turn away what costs nothing to read: they are kept longer the longer it lasts.
 func (t *tries) step(unread float64) bool {
 	const (
 		least  = 1000.0 // at a few callers each comes back sooner
@@ -1007,7 +1006,7 @@
 	say         Say
 	callers     float64
 	level, told float64
-	seen, shed int
+	seen, shed  int
 }
 
 // step moves the level so that what this server would push back for overload is not sent at all; a window
