--- a/control/control.go
+++ b/control/control.go
@@ -25,34 +25,31 @@
 	node             Node
 	methods          []Method
 	grace, overShare float64
+	tightest         float64 // the tightest latency target
 	retry            float64 // longest advice to stay away
-	tells            bool
 	out              []Action
-	now              float64
 	in               slab    // the RPCs in hand
-	wake             float64 // when the next timer should come
-	looks            int     // timers so far
-	short            bool    // memory has kept something out since the last look
+	now, wake        float64 // the clock, and when the next timer should come
+	tells, short     bool    // RPCs tell their time; memory has kept something out since the last look
 	noted            [5]bool
 	used             float64 // memory of the RPCs in hand
 
-	ramp     ramp
-	pressure pressure
-	hold     hold
-	limit    runLimit
-	keys     keys
-	calls    calls
-	tries    tries
-	drain    drain
-	health   health
-	signal   signal
-	pace     []pace
-	shares   []share
-	chance   *rand.Rand
-	active   int // running, not at a call
-	habits   map[uint16]habit
-	ranks    ranks
-	tightest float64 // the tightest latency target
+	ramp          ramp
+	pressure      pressure
+	hold          hold
+	limit         runLimit
+	keys          keys
+	calls         calls
+	tries         tries
+	drain         drain
+	health        health
+	signal        signal
+	pace          []pace
+	shares        []share
+	chance        *rand.Rand
+	active, looks int // running, not at a call; timers so far
+	habits        map[uint16]habit
+	ranks         ranks
 }
 
 // New makes an instance for a server that is just starting.
@@ -71,7 +68,8 @@
 		keys:  keys{kb: node.KeyKB},
 		calls: calls{share: below.Share, most: below.Share, linger: below.Linger},
 		tries: tries{
-			marks: fleet.Marks, reach: fleet.Heeded / 1000 / float64(fleet.Callers), told: fleet.Idle, most: fleet.Idle,
+			marks: fleet.Marks, told: fleet.Idle, most: fleet.Idle,
+			reach: fleet.Heeded / 1000 / float64(fleet.Callers),
 		},
 		health:    health{good: true, since: math.Inf(-1)},
 		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
@@ -390,13 +388,8 @@
 	r := &c.in.rpc[i]
 	c.habits[r.caller] = c.habits[r.caller].left(c.now - r.arrived)
 	r.answered = true
-	switch r.state {
-	case running, standing, calling:
-		c.abort(i)
-	default:
-		c.forget(r)
-		c.drop(i)
-	}
+	c.forget(r)
+	c.abort(i)
 }
 
 // ended books the end of a run or join.
@@ -499,9 +492,6 @@
 	for i := range c.in.rpc {
 		c.review(i)
 	}
-	for i := range c.pace {
-		c.pace[i].fade()
-	}
 	c.wake = c.now + period
 	c.do(Action{Do: Arm, Time: c.wake})
 }
@@ -548,10 +538,6 @@
 			c.short = true
 			return
 		}
-		if c.now+doubt*c.est(r) > r.target && c.methods[r.method].LateShare == 0 {
-			c.shed(i)
-			continue
-		}
 		c.hold.remove(i, r.line)
 		c.used += more
 		r.kb += more
@@ -579,8 +565,7 @@
 type ramp struct {
 	warm          bool
 	begin, length float64
-	parts         uint64 // few callers are split in so many parts each
-	salt          uint64
+	parts, salt   uint64 // few callers are split in so many parts each
 	most          float64
 }
 
@@ -758,7 +743,6 @@
 	spent, work, runs float64
 	below             float64 // mean time at calls
 	prior             float64
-	idle              float64 // time since a run ended
 	both              float64 // covariance of run time and hint, each over its mean
 	hint              float64 // variance of the hint over its mean
 }
@@ -773,27 +757,20 @@
 	)
 	spent = math.Max(1, spent) // a run that took no time tells no speed
 	p.spent, p.work, p.runs = p.spent*keep+spent, p.work*keep+work, p.runs*keep+1
-	p.below += (1 - keep) * (below - p.below)
-	p.idle = 0
+	p.below += (1 - keep) * (math.Min(below, 3*p.prior) - p.below)
 	s, w := spent*p.runs/p.spent-1, work*p.runs/p.work-1
 	p.both, p.hint = p.both*slow+(1-slow)*s*w, p.hint*slow+(1-slow)*w*w
 }
 
-// fade lets a high estimate fall by half in two seconds, once no run has ended for as long: what was learnt
-// in a hang must not keep a method from ever being tried again.
-func (p *pace) fade() {
-	if p.idle += period; p.idle > 2000 && p.spent/math.Max(1, p.runs)+p.below > 3*p.prior {
-		p.spent, p.below = 0.98*p.spent, 0.98*p.below
-	}
-}
-
 // run is the run time to expect. Rough hints overrate what they call heavy, so it is drawn to the mean.
+// What was learnt in a hang must not keep a method from ever being tried again: the mean stays under what
+// an idle server takes.
 func (p *pace) run(work float64) float64 {
 	if p.runs < 1 {
 		return p.prior
 	}
 	trust := math.Max(0.3, math.Min(1, p.both/p.hint))
-	return p.spent / p.runs * (1 - trust + trust*work*p.runs/p.work)
+	return math.Min(p.spent/p.runs, 5*p.prior) * (1 - trust + trust*work*p.runs/p.work)
 }
 
 // share measures how much of a customer's traffic lies within this server's part of its quota.
@@ -821,14 +798,13 @@
 // calls are the calls in hand below. A shared dependency limits them to this node's share at every moment,
 // so that the mean is kept whatever the others do.
 type calls struct {
-	share  float64 // 0 where nothing is shared
-	most   float64 // of that, what keeps it quick
-	quick  float64 // time of a call when it is not crowded
-	linger float64
-	inHand int
-	ghosts []float64 // until when abandoned calls stay there
-	usual  float64   // time that a call takes
-	rest   float64   // a share under one call is kept by a pause after each
+	share        float64 // 0 where nothing is shared
+	most         float64 // of that, what keeps it quick
+	linger       float64
+	inHand       int
+	ghosts       []float64 // until when abandoned calls stay there
+	usual, quick float64   // time that a call takes, and when it is not crowded
+	rest         float64   // a share under one call is kept by a pause after each
 }
 
 // take books a call if there is room for it.
