--- a/control/control.go
+++ b/control/control.go
@@ -893,7 +893,7 @@
 
 func (h *health) step(now, unread float64, alone bool) bool {
 	const (
-		flooded = 2.0    // waits unread, in tightest latency targets: by far too old
+		flooded = 1.0    // waits unread, in tightest latency targets: by far too old
 		longest = 1000.0 // about what the hold takes to drain; longer, callers find it idle and then all come back
 		between = 3000.0 // at least three quarters of the time it is on the list
 	)
