Take marked further tries for older and count them for half: a storm of them pushes out first tries no more

It could harm a fleet where few servers are full, whose further tries are as good as first ones; a free run still takes them.

--- a/control/control.go
+++ b/control/control.go
@@ -149,7 +149,7 @@
 	if c.tells {
 		r.due = c.now + ev.Time
 	} else if ev.Retry {
-		age = meth.LatencyTarget / 4 // nothing tells; a quarter lies between a prompt and a patient caller
+		age = meth.LatencyTarget / 2 // nothing tells; others pushed it back before, or its client did not wait
 	}
 	r.target = math.Min(r.arrived+meth.LatencyTarget+meth.Stretch*ev.Hint-age, r.due)
 	c.drain.bound(&r)
@@ -158,6 +158,9 @@
 		in := c.shares[ev.Customer].within(c.now, c.limit.begin, ev.Retry)
 		r.value *= in + (1-in)*c.overShare
 	}
+	if ev.Retry {
+		r.value *= 0.5 // part of its time is gone: in a storm most such are late when answered
+	}
 	r.rank, r.rel = c.ranks.of(r.value)
 	c.limit.read(ev.Waited / c.tightest)
 	c.signal.seen++
@@ -485,7 +488,7 @@
 	}
 	c.note(0, !c.ramp.warm, "ramp: begins, a share of callers taken", "ramp: over, all callers taken")
 	c.note(1, c.pressure.share < 1, "pressure: share of arrivals cut", "pressure: all arrivals taken again")
-	c.note(2, !c.health.good, "health: no, arrivals wait unread past the latency target", "health: good again")
+	c.note(2, !c.health.good, "health: no, flooded, or alone in pushing back", "health: good again")
 	c.note(3, c.short, "memory: no room for more", "memory: room again")
 	c.note(4, 2*c.calls.most < c.calls.share, "calls: fewer in hand, slow below", "calls: as many as before")
 	c.short = false
