--- a/control/control.go
+++ b/control/control.go
@@ -938,7 +938,7 @@
 func (t *tries) everywhere() bool {
 	const (
 		marked = 0.25 // of the tries pushed back elsewhere: a fleet with room for most has under a tenth
-		lost   = 0.6  // unmarked: first and further tries, two and a half for each run that ends
+		lost   = 0.5  // unmarked: of first and further tries, two for each run that ends
 	)
 	return t.marked > marked || !t.marks && t.firsts > t.ends/(1-lost)
 }
