--- a/control/control.go
+++ b/control/control.go
@@ -47,7 +47,8 @@
 	pace          []pace
 	shares        []share
 	chance        *rand.Rand
-	active, looks int // running, not at a call; timers so far
+	speed         float64 // run times of late over what the methods take
+	active, looks int     // running, not at a call; timers so far
 	habits        map[uint16]habit
 	ranks         ranks
 }
@@ -71,11 +72,11 @@
 			marks: fleet.Marks, told: fleet.Idle, most: fleet.Idle,
 			reach: fleet.Heeded / 1000 / float64(fleet.Callers),
 		},
-		health:    health{good: true, since: math.Inf(-1)},
-		signal:    signal{say: fleet.Say, callers: float64(fleet.Callers)},
-		habits:    map[uint16]habit{},
-		pace:      make([]pace, len(methods)),
-		chance:    rand.New(rand.NewSource(int64(node.Seed))),
+		health: health{good: true, since: math.Inf(-1)},
+		signal: signal{say: fleet.Say, callers: float64(fleet.Callers)},
+		habits: map[uint16]habit{},
+		pace:   make([]pace, len(methods)),
+		speed:  1, chance: rand.New(rand.NewSource(int64(node.Seed))),
 		overShare: fleet.OverShare, tells: fleet.TellsTime, tightest: math.Inf(1),
 	}
 	for i, m := range methods {
@@ -142,7 +143,7 @@
 		heldKB: ev.HeldKB, kb: ev.HeldKB,
 	}
 	if ev.Hint == 0 {
-		r.work = 1
+		r.work = c.pace[m].prior
 	}
 	r.due = r.arrived + meth.Deadline
 	age := 0.0
@@ -221,7 +222,7 @@
 func (c *Control) usual() float64 {
 	t, n := 0.0, 0.0
 	for i := range c.pace {
-		t, n = t+c.pace[i].spent+c.pace[i].prior, n+c.pace[i].runs+1
+		t, n = t+c.pace[i].spent, n+c.pace[i].runs
 	}
 	return t / n
 }
@@ -238,7 +239,7 @@
 }
 
 // est is the expected run time of an RPC without its calls.
-func (c *Control) est(r *rpc) float64 { return c.pace[r.method].run(r.work) }
+func (c *Control) est(r *rpc) float64 { return c.speed * c.pace[r.method].run(r.work) }
 
 // wait is the expected time in the hold of an RPC that would come last before target, if all that counts
 // for less than floor were pushed back.
@@ -367,7 +368,7 @@
 	if !r.answered {
 		c.do(Action{Do: Abort, RPC: r.id})
 		if r.state == running { // if only those that end in time counted, all would seem quick
-			c.pace[r.method].learn(math.Max(c.now-r.began-r.below, c.est(r)), r.work, r.below)
+			c.learn(r, math.Max(c.now-r.began-r.below, c.est(r)))
 		}
 	}
 	r.answered = true
@@ -386,6 +387,14 @@
 	}
 }
 
+func (c *Control) learn(r *rpc, spent float64) {
+	p := &c.pace[r.method]
+	if p.runs > 0 {
+		c.speed += 0.15 * (math.Min(4, math.Max(0.25, math.Max(1, spent)/math.Max(1, p.run(r.work)))) - c.speed)
+	}
+	p.learn(spent/c.speed, r.work, r.below)
+}
+
 // left hears that a caller no longer waits.
 func (c *Control) left(i int) {
 	r := &c.in.rpc[i]
@@ -407,7 +416,7 @@
 	}
 	if ev.Outcome == OK && r.state == running {
 		spent := ev.Spent - r.below
-		c.pace[r.method].learn(spent, r.work, r.below)
+		c.learn(r, spent)
 		c.pressure.learn(r.method, c.now-r.arrived, c.methods[r.method].LatencyTarget)
 	}
 	c.drop(i)
@@ -750,8 +759,12 @@
 	hint              float64 // variance of the hint over its mean
 }
 
-// newPace starts with a sixth of the latency target, until the first run ends, and trusts hints in full.
-func newPace(target float64) pace { return pace{prior: target / 6, both: 0.5, hint: 0.5} }
+// newPace starts as if two runs had ended, of a sixth of the latency target and as long as hinted: one run
+// with a short hint would make all others seem endless. Hints are trusted in full.
+func newPace(target float64) pace {
+	t := target / 6
+	return pace{prior: t, spent: 2 * t, work: 2 * t, runs: 2, both: 0.5, hint: 0.5}
+}
 
 func (p *pace) learn(spent, work, below float64) {
 	const (
@@ -769,9 +782,6 @@
 // What was learnt in a hang must not keep a method from ever being tried again: the mean stays under what
 // an idle server takes.
 func (p *pace) run(work float64) float64 {
-	if p.runs < 1 {
-		return p.prior
-	}
 	trust := math.Max(0.3, math.Min(1, p.both/p.hint))
 	return math.Min(p.spent/p.runs, 5*p.prior) * (1 - trust + trust*work*p.runs/p.work)
 }
