--- a/control/control.go
+++ b/control/control.go
@@ -47,7 +47,7 @@
 	pace          []pace
 	shares        []share
 	chance        *rand.Rand
-	speed         float64 // run times of late over what the methods take
+	speed         float64 // run times of late over what the methods take: above 1 is slow
 	active, looks int     // running, not at a call; timers so far
 	habits        map[uint16]habit
 	ranks         ranks
@@ -175,7 +175,7 @@
 	// first is taken.
 	_, inHand := c.in.byID[ev.Original]
 	if ev.Original != 0 && (inHand || c.keys.knows(ev.Original)) {
-		if late || !c.room(&r) {
+		if late || !c.room() {
 			c.abort(i)
 			return
 		}
@@ -191,7 +191,7 @@
 		c.push(i, math.Min(rampRetry, c.retry), false)
 	case hasty:
 		c.push(i, 0, false)
-	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room(&r):
+	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room():
 		c.tries.pushed += 1.0 / 32
 		c.signal.shed++
 		c.shed(i)
@@ -239,7 +239,7 @@
 }
 
 // est is the expected run time of an RPC without its calls.
-func (c *Control) est(r *rpc) float64 { return c.speed * c.pace[r.method].run(r.work) }
+func (c *Control) est(r *rpc) float64 { return c.pace[r.method].run(r.work, c.speed) }
 
 // wait is the expected time in the hold of an RPC that would come last before target, if all that counts
 // for less than floor were pushed back.
@@ -314,13 +314,9 @@
 
 // room tells whether memory allows to hold an RPC just read, with its token. What is held must still be
 // able to run.
-func (c *Control) room(r *rpc) bool {
+func (c *Control) room() bool {
 	const share = 0.8
-	token := 0.0
-	if c.methods[r.method].Repeat == Tokened {
-		token = c.keys.kb
-	}
-	fits := c.used+c.keys.used(c.now)+token < share*c.node.MemKB
+	fits := c.used+c.keys.used(c.now)+c.keys.kb < share*c.node.MemKB
 	c.short = c.short || !fits
 	return fits
 }
@@ -387,11 +383,13 @@
 	}
 }
 
+// learn takes in a run. All methods together tell the speed of late: each alone runs too seldom on a small
+// server, and its twenty runs reach back past what has changed, a slow machine or a storm of reads.
 func (c *Control) learn(r *rpc, spent float64) {
+	const weight = 0.1 // about ten runs, two seconds of traffic on a small server
 	p := &c.pace[r.method]
-	if p.runs > 0 {
-		c.speed += 0.15 * (math.Min(4, math.Max(0.25, math.Max(1, spent)/math.Max(1, p.run(r.work)))) - c.speed)
-	}
+	f := math.Max(1, spent) / math.Max(1, p.run(r.work, 1))
+	c.speed += weight * (math.Min(4, math.Max(0.25, f)) - c.speed) // bounded, as one heavy run tells no speed
 	p.learn(spent/c.speed, r.work, r.below)
 }
 
@@ -635,11 +633,7 @@
 		cut  = 0.95 // halves the share in under three seconds
 		rise = 0.02 // from a half to all in five
 	)
-	late := false
-	for _, l := range p.late {
-		late = late || l > 1
-	}
-	if late && busy > 0.9 {
+	if slices.Max(p.late) > 1 && busy > 0.9 {
 		p.share = math.Max(0.1, p.share*cut)
 	} else {
 		p.share = math.Min(1, p.share+rise)
@@ -727,8 +721,7 @@
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
 	if active > 0 && float64(active) >= l.cores/2 {
-		f := math.Min(1, onCores/float64(active))
-		l.onCore += weight * (f - l.onCore)
+		l.onCore += weight * (math.Min(1, onCores/float64(active)) - l.onCore)
 	}
 }
 
@@ -753,10 +746,8 @@
 // pace learns how long the runs of a method take, and how far their hints tell it.
 type pace struct {
 	spent, work, runs float64
-	below             float64 // mean time at calls
-	prior             float64
-	both              float64 // covariance of run time and hint, each over its mean
-	hint              float64 // variance of the hint over its mean
+	below, prior      float64 // mean time at calls; run time before any has ended
+	both, hint        float64 // covariance of run time and hint, and variance of the hint, each over its mean
 }
 
 // newPace starts as if two runs had ended, of a sixth of the latency target and as long as hinted: one run
@@ -768,7 +759,7 @@
 
 func (p *pace) learn(spent, work, below float64) {
 	const (
-		keep = 0.95 // twenty runs of memory: a second or two of traffic, so that a change of speed is seen
+		keep = 0.95 // twenty runs of memory; what changes sooner shows in the speed
 		slow = 0.98 // fifty for what hints are good for, which no speed changes
 	)
 	spent = math.Max(1, spent) // a run that took no time tells no speed
@@ -781,16 +772,15 @@
 // run is the run time to expect. Rough hints overrate what they call heavy, so it is drawn to the mean.
 // What was learnt in a hang must not keep a method from ever being tried again: the mean stays under what
 // an idle server takes.
-func (p *pace) run(work float64) float64 {
+func (p *pace) run(work, speed float64) float64 {
 	trust := math.Max(0.3, math.Min(1, p.both/p.hint))
-	return math.Min(p.spent/p.runs, 5*p.prior) * (1 - trust + trust*work*p.runs/p.work)
+	return math.Min(speed*p.spent/p.runs, 5*p.prior) * (1 - trust + trust*work*p.runs/p.work)
 }
 
 // share measures how much of a customer's traffic lies within this server's part of its quota.
 type share struct {
-	rate  float64 // RPCs a millisecond within the share
-	count float64 // first tries of late, older ones weighing less
-	last  float64
+	rate        float64 // RPCs a millisecond within the share
+	count, last float64 // first tries of late, older ones weighing less; when the last came
 }
 
 // within counts an RPC and returns the part of such RPCs that lies within the share.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -404,7 +404,7 @@
 		w.until(w.now+1200, Gauges{OnCores: 2, CoreUse: 1})
 		w.end(id, Cancelled, 1100)
 	}
-	if e := w.c.pace[0].run(1); e < 800 {
+	if e := w.c.est(&rpc{work: w.c.pace[0].prior}); e < 800 {
 		t.Errorf("run time of %v expected after 40 that were given up at 1000", e)
 	}
 }
@@ -489,13 +489,32 @@
 				hint := 100 + 200*float64(i%2)
 				p.learn(c.took(hint), hint, 0)
 			}
-			if e := p.run(400); e < c.low || e > c.most {
+			if e := p.run(400, 1); e < c.low || e > c.most {
 				t.Errorf("%v expected", e)
 			}
 		})
 	}
 }
 
+// One run with a short hint must not make all others seem endless, and a change of speed shows in a few runs.
+func TestFewRuns(t *testing.T) {
+	c := start(t, plain()).c
+	usual := rpc{work: 200}
+	c.learn(&rpc{work: 4}, 6)
+	if e := c.est(&usual); e < 100 || e > 500 {
+		t.Errorf("%v expected after one short run", e)
+	}
+	for range 30 {
+		c.learn(&usual, 200)
+	}
+	for range 8 {
+		c.learn(&usual, 600)
+	}
+	if e := c.est(&usual); e < 450 || e > 700 {
+		t.Errorf("%v expected after eight runs three times as long", e)
+	}
+}
+
 // After a hang in which every run is given up, the server must take RPCs again.
 func TestHangIsForgotten(t *testing.T) {
 	w := start(t, plain())
@@ -507,7 +526,7 @@
 	w.until(w.now+30000, Gauges{})
 	w.arrive(200, Event{})
 	if w.runs[200] != 1 {
-		t.Errorf("not run half a minute after a hang; %v expected", w.c.pace[0].run(1))
+		t.Errorf("not run half a minute after a hang; %v expected", w.c.est(&rpc{work: w.c.pace[0].prior}))
 	}
 }
 
