--- a/control/control.go
+++ b/control/control.go
@@ -386,7 +386,7 @@
 // learn takes in a run. All methods together tell the speed of late: each alone runs too seldom on a small
 // server, and its twenty runs reach back past what has changed, a slow machine or a storm of reads.
 func (c *Control) learn(r *rpc, spent float64) {
-	const weight = 0.1 // about ten runs, two seconds of traffic on a small server
+	const weight = 0.15 // about seven runs, a second or two of traffic
 	p := &c.pace[r.method]
 	f := math.Max(1, spent) / math.Max(1, p.run(r.work, 1))
 	c.speed += weight * (math.Min(4, math.Max(0.25, f)) - c.speed) // bounded, as one heavy run tells no speed
