--- a/control/control.go
+++ b/control/control.go
@@ -937,7 +937,7 @@
 // another RPC. A server that is slow by itself reads few marked tries, so those that it can't take go on.
 func (t *tries) everywhere() bool {
 	const (
-		marked = 0.25 // of the tries pushed back elsewhere: a fleet with room for most has under a tenth
+		marked = 0.15 // of the tries were pushed back elsewhere: a fleet with room for most has under a tenth
 		lost   = 0.5  // unmarked: of first and further tries, two for each run that ends
 	)
 	return t.marked > marked || !t.marks && t.firsts > t.ends/(1-lost)
@@ -950,7 +950,7 @@
 func (t *tries) alone() bool {
 	const (
 		much = 0.3  // pushed back: a server of the usual load has half of that by chance
-		few  = 0.25 // marked, as above
+		few  = 0.17 // marked: about the same; off a list that then fails to follow, a server stays idle
 	)
 	return t.marks && t.pushed > much && t.marked < few && t.firsts*t.reach < 1
 }
