--- a/control/control.go
+++ b/control/control.go
@@ -276,7 +276,7 @@
 	left := r.target - c.now - c.est(r) - p.below
 	w := c.wait(r.target, floor)
 	if w == 0 {
-		return left+(1-doubt)*c.est(r) > 0
+		return left+(1-doubt)*math.Max(0, 1-2*c.tries.pushed)*c.est(r) > 0
 	}
 	return w-c.est(r)/float64(c.limit.runs()) < left*patience(r.rank, r.rel)
 }
