--- a/control/control.go
+++ b/control/control.go
@@ -620,7 +620,7 @@
 }
 
 // targetPart of the latency target is what runs may take in the mean: the rest is for the way and spread.
-const targetPart = 0.7
+const targetPart = 0.9
 
 func (p *pressure) learn(m int, latency, target float64) {
 	const weight = 0.1 // about ten runs of memory, some seconds of one method's traffic
