--- a/control/control.go
+++ b/control/control.go
@@ -57,6 +57,9 @@
 func New(
 	node Node, fleet Fleet, below Below, rules Rules, methods []Method, customers []Customer,
 ) *Control {
+	// Figures that are missing or nothing would make a share of callers, of a quota or of a warm-up no number.
+	fleet.Callers, fleet.Peers = max(1, fleet.Callers), max(1, fleet.Peers)
+	node.WarmBy = math.Max(1, node.WarmBy)
 	c := &Control{
 		node: node, methods: methods, grace: rules.DrainGrace, retry: fleet.MaxRetryAfter,
 		in:       slab{byID: map[uint32]int{}},
@@ -269,8 +272,7 @@
 // work is counted.
 const doubt = 0.5
 
-// feasible tells whether an RPC just read can be ok in time, with the patience that its criticality gives
-// it.
+// feasible tells whether an RPC just read can be ok in time, with the patience that its value gives it.
 func (c *Control) feasible(r *rpc, floor float64) bool {
 	p := &c.pace[r.method]
 	left := r.target - c.now - c.est(r) - p.below
@@ -312,8 +314,7 @@
 	return math.Min(c.retry, math.Max(w, rampRetry))
 }
 
-// room tells whether memory allows to hold an RPC just read, with its token. What is held must still be
-// able to run.
+// room tells whether memory allows to hold an RPC just read, with its token, and still to run what is held.
 func (c *Control) room() bool {
 	const share = 0.8
 	fits := c.used+c.keys.used(c.now)+c.keys.kb < share*c.node.MemKB
@@ -640,8 +641,7 @@
 	}
 }
 
-// takes tells whether an arrival is taken: the share cut is the lowest in rank, with a soft edge drawn by
-// chance.
+// takes tells whether an arrival is taken: the share cut is the lowest in rank, with a soft edge by chance.
 func (p *pressure) takes(chance *rand.Rand, rank float64) bool {
 	const edge = 0.2 // equal values share a rank: without it they would all go at once
 	return p.share == 1 || rank+edge*(chance.Float64()-0.5) >= 1-p.share
