--- a/control/control.go
+++ b/control/control.go
@@ -57,7 +57,8 @@
 func New(
 	node Node, fleet Fleet, below Below, rules Rules, methods []Method, customers []Customer,
 ) *Control {
-	// Figures that are missing or nothing would make a share of callers, of a quota or of a warm-up no number.
+	// Figures that are missing or nothing would make a share of callers, of a quota or of a warm-up no
+	// number.
 	fleet.Callers, fleet.Peers = max(1, fleet.Callers), max(1, fleet.Peers)
 	node.WarmBy = math.Max(1, node.WarmBy)
 	c := &Control{
@@ -195,7 +196,7 @@
 	case hasty:
 		c.push(i, 0, false)
 	case !c.pressure.takes(c.chance, r.rank) || !c.makeWay(&r) || !c.room():
-		c.tries.pushed += 1.0 / 32
+		c.tries.pushed += oneTry
 		c.signal.shed++
 		c.shed(i)
 	default:
@@ -487,7 +488,7 @@
 			c.do(Action{Do: IdleAfter, Time: c.tries.idle})
 		}
 		inTime := float64(c.limit.runs()) * (1 + c.tightest/2/c.usual()) // RPCs in hand that can still be ok
-		if v, say := c.signal.step(inTime, c.limit.unread, c.tries.pushed); say {
+		if v, say := c.signal.step(inTime, c.limit.unread); say {
 			c.do(Action{Do: Tell, Value: v})
 		}
 	}
@@ -887,8 +888,8 @@
 }
 
 // health is what checks are told. It says no while all that arrives waits unread until it is too old, as
-// only staying away lets such a server catch up, and while this server alone pushes back much. It stays
-// for a third of the time at least on the list, lest a fleet flooded as a whole be gone from it.
+// only staying away lets such a server catch up, and while this server alone pushes back much. It stays for
+// a third of the time at least on the list, lest a fleet flooded as a whole be gone from it.
 type health struct {
 	good  bool
 	since float64
@@ -911,31 +912,32 @@
 	return turn
 }
 
+const oneTry = 1.0 / 32 // its weight in the parts of tries: thirty of memory, some seconds of traffic
+
 // tries tells from what has been read of late whether servers push back all over the fleet, and sets after
 // what time idle connections are closed. Where further tries are not marked all count as first ones.
 type tries struct {
 	marks            bool
-	firsts           float64 // first tries read, two seconds' worth
-	ends             float64 // runs ended, the same
-	marked           float64 // part of the latest tries that were marked
-	pushed, reach    float64
-	idle, told, most float64
+	firsts, ends     float64 // first tries read and runs ended, two seconds' worth
+	marked, pushed   float64 // parts of the latest tries that were marked, and pushed back on arrival
+	reach            float64 // for how long callers heed what they hear, in seconds, over their number
+	idle, told, most float64 // after what time idle connections are closed
 }
 
 func (t *tries) read(again bool) {
-	const weight = 1.0 / 32 // about as many tries of memory: some seconds of traffic
-	t.marked -= weight * t.marked
-	t.pushed -= weight * t.pushed
+	t.marked -= oneTry * t.marked
+	t.pushed -= oneTry * t.pushed
 	if again {
-		t.marked += weight
+		t.marked += oneTry
 	} else {
 		t.firsts++
 	}
 }
 
 // everywhere tells whether a pushback would most likely meet the next. Each costs the fleet a read and
-// often a connection, a fifth of a run together, and where all are full it gains nothing but the place of
-// another RPC. A server that is slow by itself reads few marked tries, so those that it can't take go on.
+// often a connection, a fifth of a run together; where all are full it gains but the place of another RPC.
+// A server slow by itself reads few marked tries, so those it can't take go on; unmarked, it looks like a
+// flood.
 func (t *tries) everywhere() bool {
 	const (
 		marked = 0.15 // of the tries were pushed back elsewhere: a fleet with room for most has under a tenth
@@ -991,7 +993,7 @@
 
 // step moves the level so that what this server would push back for overload is not sent at all; a window
 // is what it can hold in time, over its callers.
-func (s *signal) step(inTime, unread, pushed float64) (float64, bool) {
+func (s *signal) step(inTime, unread float64) (float64, bool) {
 	const (
 		gain  = 0.1 // with a tenth more pushed back than allowed the level rises by a hundredth a step
 		allow = 0.1 // pushed back without a rise: what stands lower makes the level fall again in some seconds
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -161,7 +161,7 @@
 func TestLevelWhileFlooded(t *testing.T) {
 	s := signal{say: SayLevel, callers: 4}
 	for _, c := range []struct{ unread, want float64 }{{0.1, 0}, {1.5, 1}, {0.1, 0}} {
-		if s.step(10, c.unread, 0); s.told != c.want {
+		if s.step(10, c.unread); s.told != c.want {
 			t.Errorf("level %v with a wait of %v unread, want %v", s.told, c.unread, c.want)
 		}
 	}
