--- a/control/control.go
+++ b/control/control.go
@@ -948,8 +948,7 @@
 
 // alone tells whether this server pushes back much and others do not, and its callers hear from it too
 // seldom to heed what it says: it is slower than the rest or draws more, and the list has to tell them. It
-// guards against slow machines and hot subjects; where no caller tries again, a fleet that is full looks
-// the same.
+// guards against slow machines and hot subjects; where nobody tries again, a full fleet looks the same.
 func (t *tries) alone() bool {
 	const (
 		much = 0.3  // pushed back: a server of the usual load has half of that by chance
