--- a/control/control.go
+++ b/control/control.go
@@ -586,7 +586,7 @@
 
 // slowest makes the ramp's length of the longest warm-up told: most servers are warm well before, and what
 // the ramp pushes back the rest of a fleet that is being replaced must run.
-const slowest = 0.5
+const slowest = 0.35
 
 func newRamp(cold bool, warmBy float64, callers int, salt uint64) ramp {
 	parts := uint64((finest + callers - 1) / callers)
