--- /dev/null
+++ b/cmd/sorrelvalve/log.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"io"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+)
+
+// Lines of one kind: the first few of a flood tell what it is, and then two a second that it goes on.
+const (
+	logBurst = 20
+	logRate  = 2
+)
+
+// limited drops lines of a kind that come too fast, and counts them on the next one that is written.
+type limited struct {
+	logrus.Formatter
+	mu    sync.Mutex
+	kinds map[string]*kind
+}
+
+type kind struct {
+	*rate.Limiter
+	dropped int
+}
+
+// Format writes one line or none. The texts of lines are constants, so there are few kinds.
+func (f *limited) Format(e *logrus.Entry) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.kinds[e.Message]
+	if k == nil {
+		k = &kind{Limiter: rate.NewLimiter(logRate, logBurst)}
+		f.kinds[e.Message] = k
+	}
+	if !k.AllowN(e.Time, 1) {
+		k.dropped++
+		return nil, nil
+	}
+	if k.dropped > 0 {
+		with := e.WithField("dropped", k.dropped)
+		with.Time, with.Level, with.Message = e.Time, e.Level, e.Message
+		e, k.dropped = with, 0
+	}
+	return f.Formatter.Format(e)
+}
+
+func newLog(out io.Writer) *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(out)
+	l.SetFormatter(&limited{
+		Formatter: &logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"},
+		kinds:     map[string]*kind{},
+	})
+	return l
+}
--- /dev/null
+++ b/cmd/sorrelvalve/main.go
@@ -0,0 +1,57 @@
+// Command sorrelvalve is one app server of a fleet: it takes RPCs from routers, lets package control decide on
+// each, has the engine do the work and answers. This package puts the parts together and minds their life from
+// the first log line to the exit; it must never hold anything that a part could own.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"sorrelvalve/internal/opening"
+)
+
+// version is set at release builds by -ldflags; else the build's own record tells it.
+var version = ""
+
+type command struct {
+	Serve   serveCmd   `cmd:"" help:"Serve RPCs until SIGTERM or SIGINT, then drain and exit."`
+	Check   checkCmd   `cmd:"" help:"Read the configuration, tell what is wrong with it, and start nothing."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type checkCmd struct{}
+
+func (checkCmd) Run() error {
+	p, err := opening.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("ok: %s listens on %s; %d methods, %d customers; %d MB, %d sockets, %g cores\n",
+		p.Name, p.Listen, len(p.Opening.Methods), len(p.Opening.Customers), p.MemoryMB, p.Sockets, p.Cores)
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	v := version
+	if info, ok := debug.ReadBuildInfo(); ok && v == "" {
+		v = info.Main.Version
+	}
+	fmt.Println("sorrelvalve", v)
+	return nil
+}
+
+func main() {
+	ctx := kong.Parse(&command{},
+		kong.Name("sorrelvalve"),
+		kong.Description("An app server with overload control.\n\n"+
+			"It is configured by the JSON file that EDGE_CONFIG names; EDGE_NAME and EDGE_LISTEN go before "+
+			"its name and listen."),
+		kong.UsageOnError(),
+	)
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/cmd/sorrelvalve/serve.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/internal/engine"
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/members"
+	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/server"
+)
+
+const (
+	// heapShare of the memory is the collector's limit; the rest is for stacks, the program itself and the
+	// kernel's buffers that count as ours.
+	heapShare = 0.6
+	// gaugeWait is how long a tick waits for its gauges: many times what the engine takes, a quarter of the
+	// time between two ticks.
+	gaugeWait = 10 * time.Millisecond
+	// spare is left of the time to the stop when the process ends.
+	spare = 60 * time.Millisecond
+)
+
+type serveCmd struct{}
+
+func (serveCmd) Run() error {
+	p, err := opening.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	return serve(p, newLog(os.Stderr).WithField("node", p.Name), stop)
+}
+
+// serve runs one server until a signal comes, and drains it.
+func serve(p *opening.Process, log *logrus.Entry, stop <-chan os.Signal) error {
+	runtime.GOMAXPROCS(int(math.Ceil(p.Cores)))
+	debug.SetMemoryLimit(int64(heapShare * float64(p.MemoryMB) * (1 << 20)))
+	if absent := server.Absent(p.Opening); len(absent) > 0 {
+		log.WithField("absent", strings.Join(absent, ", ")).Warn("server: not carried by this protocol")
+	}
+	ln, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return err
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	g := gate.New(p.Opening, p.MemoryMB, func(text string) { log.Info(text) })
+	link := engine.New(p.Engine, log, g.Start)
+	srv := server.New(g, runner(link), p.Sockets, log)
+	report := members.Reporter{
+		Addr: p.Members, Name: p.Name, Log: log, Changed: g.Changed(),
+		Up: func() (up, known bool) { return g.Good(), g.Started() },
+	}
+	go link.Serve(ctx)
+	go report.Serve(ctx)
+	go tick(ctx, g, link)
+	accepting := make(chan error, 1)
+	go func() { accepting <- srv.Serve(ln) }()
+	log.WithField("listen", p.Listen).Info("serve: begins")
+	select {
+	case err := <-accepting:
+		return errors.Join(errors.New("the listening socket failed"), err)
+	case <-stop:
+	}
+	drain(p, g, srv, ln, log)
+	return nil
+}
+
+// drain goes on as before for the grace, then lets nothing more in and waits for what is in hand.
+func drain(p *opening.Process, g *gate.Gate, srv *server.Server, ln net.Listener, log *logrus.Entry) {
+	began := time.Now()
+	g.Drain(p.Stop)
+	log.WithField("ms", p.Stop.Milliseconds()).Info("drain: begins")
+	grace := time.Duration(p.Opening.Rules.DrainGrace * float64(time.Millisecond))
+	time.Sleep(max(0, min(grace, p.Stop-4*spare)))
+	ln.Close()
+	ctx, end := context.WithDeadline(context.Background(), began.Add(p.Stop-spare))
+	defer end()
+	srv.Finish(ctx)
+	log.WithField("ms", time.Since(began).Milliseconds()).WithField("in_hand", g.InHand()).Info("drain: over")
+}
+
+// tick moves the clock of the decisions, with fresh gauges if the engine gives them in time.
+func tick(ctx context.Context, g *gate.Gate, link *engine.Link) {
+	wait := time.NewTimer(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+		}
+		wait.Reset(g.Tick(link.Gauges(gaugeWait)))
+	}
+}
+
+// runner has runs done by the engine.
+func runner(link *engine.Link) server.Runner {
+	outcomes := map[engine.Status]gate.Outcome{
+		engine.Success: gate.Succeeded, engine.Interrupted: gate.Interrupted,
+		engine.Nothing: gate.NotStarted, engine.Turned: gate.NotStarted,
+	}
+	return func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
+		link.Run(id, method, body, func(e engine.End) { done(outcomes[e.Status], e.Spent, e.Result) })
+	}
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,317 @@
+// Package engine keeps the link to the engine, which does the work: it attaches, starts runs, asks for the
+// gauges and takes each notice once and in order, over as many links as it needs. What runs is known here
+// until its end has been read, so a new link finds all of it again. It must never start a run twice by itself:
+// after a break it first reads the notices that it has missed.
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"math/rand"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Status is how a run ended.
+type Status int
+
+const (
+	Failure     Status = iota // may have had its effect
+	Success                   //
+	Interrupted               // stopped: may have had its effect
+	Nothing                   // nothing was started
+	Turned                    // the engine does not know the RPC, or not in this form
+)
+
+// End is the end of a run.
+type End struct {
+	Status Status
+	Spent  float64 // ms
+	Result []byte
+}
+
+const (
+	maxLine  = 64 << 10                // a result of 4 KiB takes 6 KB as base64; anything near this is no notice
+	dialTime = time.Second             // the engine is on the same machine
+	sendTime = 2 * time.Second         // for one line; an engine that reads none for so long is gone
+	minWait  = 5 * time.Millisecond    // before the first new link: RPCs wait for it
+	maxWait  = 500 * time.Millisecond  // and at most, while there is no engine
+	longPast = 1000 * time.Millisecond // a link that has lived so long was a good one: begin with minWait again
+)
+
+// Link is the link to one engine.
+type Link struct {
+	addr  string
+	log   *logrus.Entry
+	begun func(cold bool, ago time.Duration)
+
+	mu     sync.Mutex
+	conn   net.Conn
+	synced bool // all missed notices of this link have been read: runs may be sent
+	last   uint64
+	runs   map[string]*run
+	gauges []float64
+	mark   uint64
+	marks  map[string]chan struct{}
+}
+
+// run is one run that has not ended.
+type run struct {
+	line []byte
+	done []func(End)
+}
+
+// New returns a link to the engine at addr. begun is called each time that a link hears when the engine started.
+func New(addr string, log *logrus.Entry, begun func(cold bool, ago time.Duration)) *Link {
+	return &Link{
+		addr: addr, log: log, begun: begun, runs: map[string]*run{}, marks: map[string]chan struct{}{},
+	}
+}
+
+type command struct {
+	T     string  `json:"t"`
+	No    *uint64 `json:"no,omitempty"`
+	Rid   string  `json:"rid,omitempty"`
+	Route string  `json:"route,omitempty"`
+	B64   *string `json:"b64,omitempty"`
+	Mark  string  `json:"mark,omitempty"`
+}
+
+type notice struct {
+	T      string    `json:"t"`
+	No     uint64    `json:"no"`
+	Rid    string    `json:"rid"`
+	Status string    `json:"status"`
+	TimeMs float64   `json:"time_ms"`
+	B64    string    `json:"b64"`
+	Mark   string    `json:"mark"`
+	V      []float64 `json:"v"`
+}
+
+func line(c command) []byte {
+	b, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // plain strings and numbers always marshal
+	}
+	return append(b, '\n')
+}
+
+// Run starts the run of an RPC and calls done once with its end. Without a link it waits for the next one.
+func (l *Link) Run(id, method string, body []byte, done func(End)) {
+	text := base64.StdEncoding.EncodeToString(body)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.runs[id]; r != nil { // the same try, sent to us twice: it runs once
+		r.done = append(r.done, done)
+		return
+	}
+	r := &run{line: line(command{T: "RUN", Rid: id, Route: method, B64: &text}), done: []func(End){done}}
+	l.runs[id] = r
+	if l.synced {
+		l.send(r.line)
+	}
+}
+
+// Gauges asks for the gauges and waits for them a little; then the latest known are returned.
+func (l *Link) Gauges(wait time.Duration) []float64 {
+	l.mu.Lock()
+	if !l.synced {
+		defer l.mu.Unlock()
+		return l.gauges
+	}
+	mark, heard := l.stat()
+	l.mu.Unlock()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-heard:
+	case <-t.C:
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.marks, mark)
+	return l.gauges
+}
+
+// stat sends a STAT and returns its mark and what its answer closes.
+func (l *Link) stat() (string, chan struct{}) {
+	l.mark++
+	mark, heard := strconv.FormatUint(l.mark, 36), make(chan struct{})
+	l.marks[mark] = heard
+	l.send(line(command{T: "STAT", Mark: mark}))
+	return mark, heard
+}
+
+// send writes one line. An error ends the link; the next one starts over.
+func (l *Link) send(b []byte) {
+	if l.conn == nil {
+		return
+	}
+	l.conn.SetWriteDeadline(time.Now().Add(sendTime))
+	if _, err := l.conn.Write(b); err != nil {
+		l.synced = false
+		l.conn.Close()
+	}
+}
+
+// Serve keeps the link until ctx ends.
+func (l *Link) Serve(ctx context.Context) {
+	wait := minWait
+	for ctx.Err() == nil {
+		since := time.Now()
+		err := l.serve(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(since) > longPast {
+			wait = minWait
+		}
+		l.log.WithError(err).Warn("engine: link lost")
+		pause(ctx, wait+time.Duration(rand.Int63n(int64(wait))))
+		wait = min(maxWait, 2*wait)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (l *Link) serve(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialTime}
+	conn, err := d.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	defer func() {
+		l.mu.Lock()
+		l.conn, l.synced = nil, false
+		for mark := range l.marks {
+			l.heard(mark)
+		}
+		l.mu.Unlock()
+		conn.Close()
+	}()
+	l.mu.Lock()
+	l.conn = conn
+	last := l.last
+	l.send(line(command{T: "ATTACH", No: &last}))
+	l.mu.Unlock()
+	in := bufio.NewReaderSize(conn, maxLine)
+	for {
+		b, err := in.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		var n notice
+		if err := json.Unmarshal(b, &n); err != nil {
+			l.log.WithError(err).Warn("engine: unreadable line")
+			continue
+		}
+		l.take(&n)
+	}
+}
+
+// take handles one line of the engine's.
+func (l *Link) take(n *notice) {
+	l.mu.Lock()
+	if n.No > 0 {
+		if n.No <= l.last {
+			l.mu.Unlock()
+			return // read before the break
+		}
+		l.last = n.No
+	}
+	switch n.T {
+	case "HELLO":
+		l.stat() // its answer comes behind the notices that were missed
+		l.mu.Unlock()
+		l.log.WithFields(logrus.Fields{"status": n.Status, "ms": n.TimeMs}).Info("engine: attached")
+		l.begun(n.Status == "booting", time.Duration(n.TimeMs*float64(time.Millisecond)))
+		return
+	case "STATS":
+		l.gauges = n.V
+		l.answered(n.Mark)
+	case "NO":
+		if n.Rid == "" {
+			l.answered(n.Mark) // no gauges here
+			l.mu.Unlock()
+			l.log.WithField("command", n.Status).Warn("engine: command not carried out")
+			return
+		}
+		l.log.WithFields(logrus.Fields{"command": n.Status, "rid": n.Rid}).Warn("engine: run not carried out")
+		l.end(n.Rid, End{Status: Turned})
+		return
+	case "DONE":
+		e := End{Spent: n.TimeMs}
+		switch n.Status {
+		case "success":
+			e.Status = Success
+		case "interrupted":
+			e.Status = Interrupted
+		case "nothing":
+			e.Status = Nothing
+		}
+		var err error
+		if e.Result, err = base64.StdEncoding.DecodeString(n.B64); err != nil {
+			e.Status = Failure
+			l.log.WithError(err).Warn("engine: unreadable result")
+		}
+		l.end(n.Rid, e)
+		return
+	case "NOTE":
+	default:
+		l.log.WithField("line", n.T).Warn("engine: unknown line")
+	}
+	l.mu.Unlock()
+}
+
+// answered books the answer to a STAT. After the first on a link, all that runs is sent on it.
+func (l *Link) answered(mark string) {
+	l.heard(mark)
+	if l.synced {
+		return
+	}
+	l.synced = true
+	ids := make([]string, 0, len(l.runs))
+	for id := range l.runs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		l.send(l.runs[id].line)
+	}
+}
+
+// heard ends the wait for the answer to a STAT.
+func (l *Link) heard(mark string) {
+	if c := l.marks[mark]; c != nil {
+		close(c)
+		delete(l.marks, mark)
+	}
+}
+
+// end takes a run out and tells those that wait for it. It is called with the lock held and gives it back.
+func (l *Link) end(id string, e End) {
+	r := l.runs[id]
+	delete(l.runs, id)
+	l.mu.Unlock()
+	if r == nil {
+		return
+	}
+	for _, done := range r.done {
+		done(e)
+	}
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,508 @@
+// Package gate is the facade of the decisions, in blocking style. A protocol enters each RPC that it has
+// read, waits for verdicts, reports what became of runs, and ticks the clock. The gate owns the ids, the lock,
+// the clock, the timer, the tokens with the results kept for their repeats, and the promise that each RPC
+// gets exactly one final verdict, whatever races for it. It must never touch a socket, and it decides
+// nothing: what is taken, run or turned away is for package control, whose events and actions stay in here.
+package gate
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/opening"
+)
+
+// Answer is what a verdict asks the protocol to do.
+type Answer int
+
+const (
+	Run        Answer = iota // run the RPC, report its end, and wait for the next verdict
+	OK                       // final: answer with Result
+	PushedBack               // final: it never ran
+	Aborted                  // final: an error, with no word on effects
+	Gone                     // final: its caller no longer waits, nothing is owed
+)
+
+// Verdict is what has been decided on an RPC.
+type Verdict struct {
+	Answer Answer
+	Result []byte  // OK
+	Away   float64 // PushedBack: ms that the caller should stay away
+	Last   bool    // PushedBack: the caller should not go elsewhere
+	Why    string  // Aborted
+}
+
+// Outcome is what became of a run.
+type Outcome int
+
+const (
+	Failed      Outcome = iota // may have had its effect
+	Succeeded                  //
+	Interrupted                // stopped: may have had its effect
+	NotStarted                 // nothing ran
+)
+
+// RPC is what a protocol has read.
+type RPC struct {
+	Method, Customer string
+	Caller           uint16
+	Subject          uint64  // 0 for none
+	Door             float64 // when it reached the machine, in Unix ms
+	Hint             float64 // expected work in ms, 0 for none
+	HeldKB           float64
+	Retry            bool
+	Token            string // the same in all tries of a tokened RPC
+}
+
+// Log takes the lines that the decisions and the gate have to say.
+type Log func(text string)
+
+// Gate is one instance.
+type Gate struct {
+	log  Log
+	told *opening.Opening
+
+	methods   map[string]int
+	customers map[string]int
+	maxTokens int
+
+	mu       sync.Mutex
+	decide   *control.Control // nil until Start
+	origin   time.Time        // zero of the module's clock
+	wake     float64
+	label    uint64
+	lastID   uint32
+	tickets  map[uint32]*Ticket // until the final verdict and the end of the run
+	tokens   map[string]*token
+	todo     []control.Event // what the actions of one event brought about
+	draining bool
+	good     bool
+	idle     time.Duration
+	changed  chan struct{}
+}
+
+// Ticket is one RPC that has been entered.
+type Ticket struct {
+	g        *Gate
+	id       uint32
+	method   int
+	due      float64 // Unix ms
+	door     float64
+	key      string // of its token
+	joins    *token // whose result it waits for
+	verdicts chan Verdict
+	running  bool
+	final    bool
+}
+
+// token is a try of a tokened RPC that repeats are told of.
+type token struct {
+	id        uint32
+	until     float64 // Unix ms: no try that comes before may run
+	drop      float64 // Unix ms: repeats read late are past their deadline then
+	ran, over bool
+	ok        bool
+	result    []byte
+	joined    []*Ticket
+}
+
+// tokenKB bounds what a kept token takes: a result of up to 4 KB and its entry, rounded up for the allocator.
+const tokenKB = 6
+
+// New returns a gate for a server told o. Its table of tokens stays under a quarter of memoryMB.
+func New(o *opening.Opening, memoryMB int, log Log) *Gate {
+	g := &Gate{
+		log: log, told: o,
+		methods: map[string]int{}, customers: map[string]int{},
+		maxTokens: memoryMB * 1024 / 4 / tokenKB,
+		tickets:   map[uint32]*Ticket{}, tokens: map[string]*token{},
+		idle:    ms(o.Fleet.Idle),
+		changed: make(chan struct{}, 1),
+	}
+	for i, m := range o.Methods {
+		g.methods[m.Name] = i
+	}
+	for i, c := range o.Customers {
+		g.customers[c.Name] = i
+	}
+	return g
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+func unixMs(t time.Time) float64 { return float64(t.UnixNano()) / 1e6 }
+
+// clock is the module's time.
+func (g *Gate) clock(t time.Time) float64 { return float64(t.Sub(g.origin)) / 1e6 }
+
+// Start begins the decisions: the work behind this server started a while ago, cold or warm. The time since
+// then is lived through at once, so that a ramp stands where it would.
+func (g *Gate) Start(cold bool, ago time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.decide != nil {
+		return
+	}
+	now := time.Now()
+	g.origin = now.Add(-ago)
+	o := g.told
+	node := o.Node
+	node.Cold = cold
+	g.decide = control.New(node, o.Fleet, o.Below, o.Rules, o.Methods, o.Customers)
+	g.handle(0, control.Event{Kind: control.Begin})
+	for at := g.wake; cold && at <= math.Min(g.clock(now), node.WarmBy); at = g.wake {
+		g.handle(at, control.Event{Kind: control.Timer, Label: g.label})
+	}
+}
+
+// Enter books an RPC as read. It never blocks; the verdicts come by Wait, and exactly one of them is final.
+// An error tells that the RPC makes no sense here.
+func (g *Gate) Enter(r RPC) (*Ticket, error) {
+	m, known := g.methods[r.Method]
+	if !known {
+		return nil, fmt.Errorf("method %.40q is not known here", r.Method)
+	}
+	customer, known := g.customers[r.Customer]
+	if !known && len(g.customers) > 0 {
+		return nil, fmt.Errorf("customer %.40q is not known here", r.Customer)
+	}
+	tokened := g.told.Methods[m].Repeat == control.Tokened
+	if tokened && r.Token == "" {
+		return nil, fmt.Errorf("method %s: a token expected, none there", r.Method)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := time.Now()
+	now := unixMs(at)
+	door := math.Min(math.Max(r.Door, now-g.told.Methods[m].Deadline), now)
+	t := &Ticket{
+		g: g, method: m, door: door, due: door + g.told.Methods[m].Deadline,
+		verdicts: make(chan Verdict, 2), // a run and a final one
+	}
+	if g.decide == nil || tokened && len(g.tokens) >= g.maxTokens {
+		t.finish(Verdict{Answer: PushedBack})
+		return t, nil
+	}
+	g.lastID++
+	t.id = g.lastID
+	ev := control.Event{
+		Kind: control.Arrive, RPC: t.id, Method: m, Customer: customer, Caller: r.Caller, Subject: r.Subject,
+		Waited: now - door, Hint: r.Hint, HeldKB: r.HeldKB, Retry: r.Retry,
+	}
+	if tokened {
+		t.key = r.Method + "\x00" + r.Token
+		if k := g.tokens[t.key]; k != nil && door < k.until {
+			ev.Original, t.joins = k.id, k
+		}
+	}
+	g.tickets[t.id] = t
+	g.handle(g.clock(at), ev)
+	return t, nil
+}
+
+// Pick enters an RPC and blocks until its first verdict. If ctx ends before, the caller is taken to be gone.
+func (g *Gate) Pick(ctx context.Context, r RPC) (*Ticket, Verdict, error) {
+	t, err := g.Enter(r)
+	if err != nil {
+		return nil, Verdict{}, err
+	}
+	return t, t.Wait(ctx), nil
+}
+
+// Wait blocks until the next verdict. If ctx ends before, the caller is taken to be gone.
+func (t *Ticket) Wait(ctx context.Context) Verdict {
+	select {
+	case v := <-t.verdicts:
+		return v
+	case <-ctx.Done():
+		t.Leave()
+		return <-t.verdicts
+	}
+}
+
+// Leave tells that the caller no longer waits. It does nothing once there is a final verdict.
+func (t *Ticket) Leave() {
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	t.g.end(t, Verdict{Answer: Gone})
+}
+
+// end gives a final verdict that the module has no part in. The module hears first, so that it can still
+// drop the token of what never ran.
+func (g *Gate) end(t *Ticket, v Verdict) {
+	if !t.final {
+		g.handle(g.clock(time.Now()), control.Event{Kind: control.Left, RPC: t.id})
+		t.finish(v)
+	}
+}
+
+// Report tells what became of a run that a verdict asked for. The verdict that answers it comes by Wait,
+// if the RPC has none yet.
+func (t *Ticket) Report(how Outcome, spent float64, result []byte) {
+	g := t.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !t.running {
+		return
+	}
+	t.running = false
+	outcome := [...]control.Outcome{control.Error, control.OK, control.Cancelled, control.Moot}[how]
+	if k := g.tokens[t.key]; k != nil && k.id == t.id {
+		if how == NotStarted {
+			g.forget(t.key, k)
+		} else {
+			k.over, k.ok, k.result = true, how == Succeeded, result
+			g.settle(k)
+		}
+	}
+	if how == Succeeded {
+		t.finish(Verdict{Answer: OK, Result: result})
+	} else {
+		t.finish(Verdict{Answer: Aborted, Why: "the run failed"})
+	}
+	delete(g.tickets, t.id)
+	g.handle(g.clock(time.Now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
+}
+
+// Tick moves the clock on, with the gauges as they stand in the order told, and returns the time until it
+// should be called next. Ticks that came due in a stall are made up for by one.
+func (g *Gate) Tick(gauges []float64) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.decide == nil {
+		return 10 * time.Millisecond // nothing runs yet; the start is noticed soon enough
+	}
+	at := time.Now()
+	now := g.clock(at)
+	if now >= g.wake {
+		ev := control.Event{Kind: control.Timer, Label: g.label}
+		for i := range min(len(gauges), len(g.told.Gauges)) {
+			switch g.told.Gauges[i] {
+			case "core_use":
+				ev.Gauges.CoreUse = gauges[i]
+			case "on_cores":
+				ev.Gauges.OnCores = gauges[i]
+			}
+		}
+		g.handle(now, ev)
+		g.sweep(unixMs(at))
+	}
+	return ms(math.Max(1, g.wake-now))
+}
+
+// sweep drops what has had its time. An RPC that the decisions have left without an answer past its due time
+// gets one here: no error in them may lose it.
+func (g *Gate) sweep(now float64) {
+	for _, t := range g.tickets {
+		if !t.final && now > t.due+g.told.Slack/2 {
+			g.log("gate: an RPC was overdue")
+			g.end(t, Verdict{Answer: Aborted, Why: "overdue"})
+		}
+	}
+	for key, k := range g.tokens {
+		if now > k.drop && (k.over || g.tickets[k.id] == nil) {
+			delete(g.tokens, key)
+		}
+	}
+}
+
+// Drain tells that the server will be stopped after a while.
+func (g *Gate) Drain(stop time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	if g.decide != nil {
+		g.handle(g.clock(time.Now()), control.Event{Kind: control.Notice, Time: float64(stop) / 1e6})
+	}
+}
+
+// Good is what health checks are told.
+func (g *Gate) Good() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.good && !g.draining
+}
+
+// Started tells whether the decisions have begun.
+func (g *Gate) Started() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.decide != nil
+}
+
+// Changed has a value after health has changed.
+func (g *Gate) Changed() <-chan struct{} { return g.changed }
+
+// Idle is how long a connection may carry nothing.
+func (g *Gate) Idle() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.idle
+}
+
+// InHand is the number of RPCs without a final verdict or with a run that is not over.
+func (g *Gate) InHand() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.tickets)
+}
+
+// handle gives an event to the module and carries out what it says, and so on with what that brought about.
+func (g *Gate) handle(now float64, ev control.Event) {
+	g.todo = append(g.todo, ev)
+	if len(g.todo) > 1 {
+		return // the call below this one goes on with it
+	}
+	defer func() { g.todo = g.todo[:0] }()
+	for i := 0; i < len(g.todo); i++ {
+		for _, a := range g.decide.Handle(now, g.todo[i]) {
+			g.carryOut(a)
+		}
+	}
+}
+
+func (g *Gate) carryOut(a control.Action) {
+	switch a.Do {
+	case control.Arm:
+		g.wake, g.label = a.Time, a.Label
+		return
+	case control.Health:
+		if g.good != a.Good {
+			g.good = a.Good
+			select {
+			case g.changed <- struct{}{}:
+			default:
+			}
+		}
+		return
+	case control.IdleAfter:
+		g.idle = ms(a.Time)
+		if a.Time == 0 {
+			g.idle = ms(g.told.Fleet.Idle)
+		}
+		return
+	case control.Note:
+		g.log(a.Text)
+		return
+	}
+	t := g.tickets[a.RPC]
+	if t == nil { // it is over; a run of it must still end for the module
+		if a.Do == control.Run {
+			g.later(control.Event{Kind: control.Ended, RPC: a.RPC, Outcome: control.Moot})
+		}
+		return
+	}
+	switch a.Do {
+	case control.Run:
+		g.run(t)
+	case control.PushBack:
+		v := Verdict{Answer: PushedBack, Last: a.Last, Away: math.Min(a.Time, g.told.Fleet.MaxRetryAfter)}
+		if k := t.joins; t.running || k != nil && k.ran && g.tokens[t.key] == k {
+			v = Verdict{Answer: Aborted, Why: "it may have run"} // what ran is never pushed back
+		}
+		t.finish(v)
+	case control.Abort:
+		t.finish(Verdict{Answer: Aborted, Why: "given up"})
+	case control.Remember:
+		g.remember(t, a.Time)
+	case control.Forget:
+		if k := g.tokens[t.key]; k != nil && k.id == t.id && !k.ran {
+			g.forget(t.key, k)
+		}
+	case control.Join:
+		k := t.joins
+		if k == nil || g.tokens[t.key] != k {
+			g.ended(t, Verdict{Answer: Aborted, Why: "the try that it repeats is over"})
+			return
+		}
+		k.joined = append(k.joined, t)
+		if k.over {
+			g.settle(k)
+		}
+	default:
+		g.log("gate: an action that this server can't carry out")
+	}
+}
+
+// run starts an RPC, unless another try of it has run within its window: that guards the rule against
+// any fault in what the module remembers.
+func (g *Gate) run(t *Ticket) {
+	k := g.tokens[t.key]
+	if k != nil && k.id != t.id && k.ran && t.door < k.until {
+		g.log("gate: a second run of a tokened RPC was stopped")
+		g.ended(t, Verdict{Answer: Aborted, Why: "another try has run"})
+		return
+	}
+	if k != nil && k.id == t.id {
+		k.ran = true
+	}
+	t.running = true
+	t.verdicts <- Verdict{Answer: Run}
+}
+
+// remember sets the token of a try; one that it takes over from is no longer named.
+func (g *Gate) remember(t *Ticket, life float64) {
+	if t.key == "" {
+		return
+	}
+	if k := g.tokens[t.key]; k != nil {
+		if k.ran && t.door < k.until {
+			return
+		}
+		g.forget(t.key, k)
+	}
+	until := math.Max(unixMs(time.Now())+life, t.door+g.told.Methods[t.method].Window+1) // door has whole ms
+	g.tokens[t.key] = &token{id: t.id, until: until, drop: until + g.told.Methods[t.method].Deadline}
+}
+
+// forget drops a token whose try never ran. Those that wait for it end with an error.
+func (g *Gate) forget(key string, k *token) {
+	delete(g.tokens, key)
+	k.over = true
+	g.settle(k)
+}
+
+// settle ends those that wait for a token's try.
+func (g *Gate) settle(k *token) {
+	joined := k.joined
+	k.joined = nil
+	for _, t := range joined {
+		if k.ok {
+			g.ended(t, Verdict{Answer: OK, Result: k.result})
+		} else {
+			g.ended(t, Verdict{Answer: Aborted, Why: "the try that it repeats failed"})
+		}
+	}
+}
+
+// ended gives a held or joined RPC its verdict and tells the module that it is over.
+func (g *Gate) ended(t *Ticket, v Verdict) {
+	if !t.finish(v) {
+		return
+	}
+	outcome := control.Error
+	if v.Answer == OK {
+		outcome = control.OK
+	}
+	g.later(control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome})
+}
+
+// later hands an event to the module after the one in hand, or now if there is none.
+func (g *Gate) later(ev control.Event) { g.handle(g.clock(time.Now()), ev) }
+
+// finish gives the final verdict if there is none yet, and tells whether it did.
+func (t *Ticket) finish(v Verdict) bool {
+	if t.final {
+		return false
+	}
+	t.final = true
+	t.verdicts <- v
+	if !t.running {
+		delete(t.g.tickets, t.id)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/server/conn.go
@@ -0,0 +1,249 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/msgpack"
+)
+
+const (
+	maxFrame  = 8 << 10                // a body of 2 KiB and fields of some hundred bytes, with room for new ones
+	maxOpen   = 32                     // RPCs on one connection, as the protocol says
+	flushTime = 200 * time.Millisecond // for a peer to take its last answers after a broken frame
+	flushMost = 1 << 20                // and what it may send meanwhile
+	writeTime = 10 * time.Second       // for one answer: longer than any deadline, so only a dead caller meets it
+)
+
+// conn is one connection of a router.
+type conn struct {
+	s  *Server
+	nc net.Conn
+	wg sync.WaitGroup // of the goroutines beside the reader
+
+	mu      sync.Mutex
+	open    map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered
+	last    time.Time               // when something was read or answered
+	told    time.Time               // when the closing notice went out
+	writing sync.Mutex
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	return &conn{s: s, nc: nc, open: map[uint64]*gate.Ticket{}, last: time.Now()}
+}
+
+// serve reads until the connection ends, waits for what is in hand, and closes it.
+func (c *conn) serve() {
+	if c.s.over.Load() {
+		c.closing()
+	}
+	err := c.read()
+	var lost *net.OpError
+	switch {
+	case errors.Is(err, io.EOF): // the peer may still read: all that came whole is answered
+	case errors.As(err, &lost):
+		c.leave() // nobody is left to answer
+	default:
+		c.s.log.WithField("peer", c.nc.RemoteAddr()).WithError(err).Warn("server: broken frame, connection closed")
+		c.wg.Wait()
+		c.flush()
+	}
+	c.wg.Wait()
+	c.nc.Close()
+}
+
+// flush ends the writing side and reads on for a moment: a close over unread bytes would reset the
+// connection, and take answers with it that the peer has not read yet.
+func (c *conn) flush() {
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(flushTime))
+	io.CopyN(io.Discard, c.nc, flushMost)
+}
+
+// leave takes the callers of all that is open as gone.
+func (c *conn) leave() {
+	c.mu.Lock()
+	tickets := make([]*gate.Ticket, 0, len(c.open))
+	for _, t := range c.open {
+		if t != nil {
+			tickets = append(tickets, t)
+		}
+	}
+	c.mu.Unlock()
+	for _, t := range tickets {
+		t.Leave()
+	}
+}
+
+var errRepeated = errors.New("message id is open already")
+
+// read takes messages until an error; io.EOF is a clean end. Frames are parsed in the reader's buffer.
+func (c *conn) read() (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			c.s.log.WithField("panic", v).WithField("stack", string(debug.Stack())).Error("server: panic on a connection")
+			err = errFrame
+		}
+	}()
+	in := bufio.NewReaderSize(c.nc, maxFrame)
+	for {
+		b, err := in.Peek(max(1, in.Buffered()))
+		for {
+			if err != nil {
+				return err
+			}
+			m, size, bad := parseMessage(b)
+			if bad == nil {
+				if err := c.take(m); err != nil {
+					return err
+				}
+				in.Discard(size)
+				break
+			}
+			if bad != msgpack.ErrShort {
+				return bad
+			}
+			b, err = in.Peek(in.Buffered() + 1)
+			if err == nil {
+				b, err = in.Peek(in.Buffered())
+			} else if err == io.EOF {
+				return errors.New("the connection ended within a message")
+			}
+		}
+	}
+}
+
+// take handles one message.
+func (c *conn) take(m message) error {
+	c.mu.Lock()
+	c.last = time.Now()
+	_, taken := c.open[m.id]
+	n := len(c.open)
+	c.mu.Unlock()
+	switch {
+	case m.kind == typeNotice:
+		if string(m.method) == "cancel" {
+			for _, id := range parseCancel(m.params) {
+				c.mu.Lock()
+				t := c.open[id]
+				c.mu.Unlock()
+				if t != nil {
+					t.Leave()
+				}
+			}
+		}
+		return nil
+	case taken:
+		return errRepeated
+	case n >= 2*maxOpen: // answers may still be on their way to a router that counts fewer
+		return errors.New("too many RPCs open")
+	case string(m.method) == "health":
+		c.beside(m.id, nil, func() { c.write(healthAnswer(m.id, c.s.gate.Good())) })
+		return nil
+	}
+	rpc, txn, body, err := parseRPC(m.method, m.params)
+	var t *gate.Ticket
+	if err == nil {
+		t, err = c.s.gate.Enter(rpc)
+	}
+	if err != nil {
+		c.s.log.WithField("peer", c.nc.RemoteAddr()).WithError(err).Warn("server: senseless RPC")
+		c.beside(m.id, nil, func() { c.write(failure(m.id, "Invalid", err.Error())) })
+		return nil
+	}
+	c.beside(m.id, t, func() { c.answer(m.id, t, txn, rpc.Method, body) })
+	return nil
+}
+
+// beside does what answers a message in a goroutine of its own.
+func (c *conn) beside(id uint64, t *gate.Ticket, do func()) {
+	c.mu.Lock()
+	c.open[id] = t
+	c.mu.Unlock()
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		defer func() {
+			v := recover()
+			if v != nil {
+				c.s.log.WithField("panic", v).WithField("stack", string(debug.Stack())).Error("server: panic on an RPC")
+				if t != nil {
+					t.Leave()
+				}
+				c.write(failure(id, "Internal", "a fault of the server"))
+			}
+			c.mu.Lock()
+			delete(c.open, id)
+			c.last = time.Now()
+			c.mu.Unlock()
+		}()
+		do()
+	}()
+}
+
+// answer waits for the verdicts on an RPC and carries them out until the final one.
+func (c *conn) answer(id uint64, t *gate.Ticket, txn, method string, body []byte) {
+	for {
+		switch v := t.Wait(context.Background()); v.Answer {
+		case gate.Run:
+			c.s.run(txn, method, body, t.Report)
+			continue
+		case gate.OK:
+			c.write(okHead(id, len(v.Result)), v.Result, okTail())
+		case gate.PushedBack:
+			c.write(pushback(id, v.Away, v.Last))
+		case gate.Aborted:
+			c.write(failure(id, "Aborted", v.Why))
+		}
+		return
+	}
+}
+
+// write sends one message in parts. An error ends the connection, which its reader notices.
+func (c *conn) write(parts ...[]byte) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+	b := net.Buffers(parts)
+	if _, err := b.WriteTo(c.nc); err != nil {
+		c.nc.Close()
+	}
+}
+
+// closing asks the router for no more RPCs here.
+func (c *conn) closing() {
+	c.mu.Lock()
+	told := !c.told.IsZero()
+	if !told {
+		c.told = time.Now()
+	}
+	c.mu.Unlock()
+	if !told {
+		go c.write(closingNotice()) // a caller that reads slowly must not hold up the one who asks
+	}
+}
+
+// retire closes a connection that has carried nothing for so long: first it is told, then its router closes
+// it, and if that does not come it is closed from here.
+func (c *conn) retire(idle time.Duration) {
+	c.mu.Lock()
+	quiet := time.Since(c.last)
+	open, told := len(c.open), c.told
+	c.mu.Unlock()
+	switch {
+	case open > 0:
+	case told.IsZero() && quiet > idle:
+		c.closing()
+	case !told.IsZero() && quiet > lingers && time.Since(told) > lingers:
+		c.nc.Close()
+	}
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,167 @@
+// Package server speaks with the routers. It owns the listening socket and the connections: one goroutine a
+// connection that always goes on reading, and one beside it for each RPC in hand, which waits for the verdicts
+// of the gate, has the work run and writes the answer. A fault on a connection ends there. This package must
+// never decide what is taken or run, and never let a caller that reads slowly hold up another.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/opening"
+)
+
+// Runner has the work of an RPC run and calls done once with what became of it.
+type Runner func(id, method string, body []byte, done func(how gate.Outcome, spent float64, result []byte))
+
+// Server serves one listening socket.
+type Server struct {
+	gate *gate.Gate
+	run  Runner
+	log  *logrus.Entry
+
+	slots chan struct{} // one for each connection that may be open
+	over  atomic.Bool   // no more RPCs are wanted: every connection is told so
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	wg    sync.WaitGroup
+}
+
+const (
+	// reserved descriptors: the listener, the engine, the membership service, the three standard ones and what
+	// the runtime keeps make ten; the rest is for the moments in which a closed one is not yet gone.
+	reserved = 24
+	// sweepEvery is how often idle connections are looked for: a tenth of the shortest idle time in use.
+	sweepEvery = 100 * time.Millisecond
+	// acceptPause follows an error of accept, which would else come again at once.
+	acceptPause = 20 * time.Millisecond
+	// lingers is how long a connection stays open after its closing notice and its last answer, for its
+	// router to close it; far above the 50 ms in which an RPC may cross the notice.
+	lingers = 1500 * time.Millisecond
+)
+
+// New returns a server that may hold so many descriptors.
+func New(g *gate.Gate, run Runner, sockets int, log *logrus.Entry) *Server {
+	return &Server{
+		gate: g, run: run, log: log,
+		slots: make(chan struct{}, max(8, sockets-reserved)), conns: map[*conn]struct{}{},
+	}
+}
+
+// Absent takes out of o what the protocol of the routers and of the engine can't carry, so that no decision is
+// built on it, and names it.
+func Absent(o *opening.Opening) (names []string) {
+	if o.Below.Share > 0 {
+		o.Below, names = control.Below{}, append(names, "calls below")
+	}
+	if o.Node.Stop != control.StopNone {
+		o.Node.Stop, names = control.StopNone, append(names, "stopping of runs")
+	}
+	if o.Fleet.Say != control.SayNone {
+		o.Fleet.Say, names = control.SayNone, append(names, "a value for callers")
+	}
+	if o.Fleet.TellsTime {
+		o.Fleet.TellsTime, names = false, append(names, "the time that a caller waits")
+	}
+	return names
+}
+
+// Serve accepts connections from ln until it is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	stop := make(chan struct{})
+	defer close(stop)
+	go s.sweep(stop)
+	for {
+		select {
+		case s.slots <- struct{}{}:
+		default:
+			s.log.WithField("most", cap(s.slots)).Warn("server: connection limit reached")
+			s.slots <- struct{}{}
+		}
+		nc, err := ln.Accept()
+		if err != nil {
+			<-s.slots
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.log.WithError(err).Warn("server: accept failed")
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newConn(s, nc)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Add(1)
+		go func() {
+			c.serve()
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+			<-s.slots
+			s.wg.Done()
+		}()
+	}
+}
+
+// sweep closes connections that have carried nothing for as long as the gate says.
+func (s *Server) sweep(stop chan struct{}) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		idle := s.gate.Idle()
+		for _, c := range s.all() {
+			c.retire(idle)
+		}
+	}
+}
+
+func (s *Server) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+// Finish asks for no more RPCs on any connection, waits until all that was read has been answered and the
+// connections are closed, or ctx ends, and closes what is left.
+func (s *Server) Finish(ctx context.Context) {
+	s.over.Store(true)
+	for _, c := range s.all() {
+		c.closing()
+	}
+	done := make(chan struct{})
+	go func() { s.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+		return
+	case <-ctx.Done():
+	}
+	for _, c := range s.all() {
+		c.nc.Close()
+	}
+}
+
+// Conns is the number of open connections.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -10,6 +10,7 @@
 	"math"
 
 	"sorrelvalve/control"
+	"sorrelvalve/internal/opening"
 )
 
 const (
@@ -56,7 +57,7 @@
 type Event struct {
 	What    What
 	Who     uint16
-	Opening *Opening
+	Opening *opening.Opening
 	control.Event
 }
 
@@ -131,13 +132,13 @@
 		ev.What, ev.Kind = Opened, control.Begin
 		seed, text := f.u64(), f.bytes()
 		if f.bad == "" {
-			o, err := ParseOpening(string(text))
+			o, err := opening.Parse(string(text))
 			if err != nil {
 				return r.fail("%v", err)
 			}
 			o.Node.Seed = seed
 			ev.Opening = o
-			r.gauges[ev.Who] = o.gauges
+			r.gauges[ev.Who] = o.Gauges
 		}
 	case evExit:
 		ev.What = Exited
