Read loop: take a message that came whole without waiting for a byte behind it

Seen: servers ready only after 30 s, checks reset after 1 s unanswered; a probe showed connections opened and no message taken. At fault: conn.read, which looked at one byte first and then waited for one more than was buffered.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -95,29 +95,26 @@
 		}
 	}()
 	in := bufio.NewReaderSize(c.nc, maxFrame)
+	need := 1 // bytes that must be there before it is worth looking again
 	for {
-		b, err := in.Peek(max(1, in.Buffered()))
-		for {
-			if err != nil {
+		if _, err := in.Peek(need); err == io.EOF && in.Buffered() > 0 {
+			return errors.New("the connection ended within a message")
+		} else if err != nil {
+			return err
+		}
+		b, _ := in.Peek(in.Buffered())
+		m, size, err := parseMessage(b)
+		switch err {
+		case nil:
+			if err := c.take(m); err != nil {
 				return err
 			}
-			m, size, bad := parseMessage(b)
-			if bad == nil {
-				if err := c.take(m); err != nil {
-					return err
-				}
-				in.Discard(size)
-				break
-			}
-			if bad != msgpack.ErrShort {
-				return bad
-			}
-			b, err = in.Peek(in.Buffered() + 1)
-			if err == nil {
-				b, err = in.Peek(in.Buffered())
-			} else if err == io.EOF {
-				return errors.New("the connection ended within a message")
-			}
+			in.Discard(size)
+			need = 1
+		case msgpack.ErrShort:
+			need = len(b) + 1
+		default:
+			return err
 		}
 	}
 }
