Tests of gate, link, connections, parsers and configuration; a panic costs one RPC; room at the limit

A panic inside the decisions is caught at the gate, which aborts the RPC concerned; the gate's clock can be set by tests. At the limit of connections the one idle for longest is asked to close.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -215,17 +215,17 @@
 		if err != nil {
 			return err
 		}
-		var n notice
-		if err := json.Unmarshal(b, &n); err != nil {
-			l.log.WithError(err).Warn("engine: unreadable line")
-			continue
-		}
-		l.take(&n)
+		l.read(b)
 	}
 }
 
-// take handles one line of the engine's.
-func (l *Link) take(n *notice) {
+// read handles one line of the engine's. What can't be read is logged and passed over.
+func (l *Link) read(b []byte) {
+	var n notice
+	if err := json.Unmarshal(b, &n); err != nil {
+		l.log.WithError(err).Warn("engine: unreadable line")
+		return
+	}
 	l.mu.Lock()
 	if n.No > 0 {
 		if n.No <= l.last {
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,230 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// soon bounds what must come at once; it is long only so that a busy machine fails no test.
+const soon = 10 * time.Second
+
+// stand is a stand-in for the engine, driven line by line.
+type stand struct {
+	*testing.T
+	ln   net.Listener
+	link *Link
+	conn net.Conn
+	in   *bufio.Scanner
+	ends chan string
+	cold chan bool
+}
+
+func start(t *testing.T) *stand {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &stand{T: t, ln: ln, ends: make(chan string, 20), cold: make(chan bool, 20)}
+	s.link = New(ln.Addr().String(), log.WithField("node", "n0"), func(cold bool, ago time.Duration) { s.cold <- cold })
+	ctx, end := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { s.link.Serve(ctx); close(over) }()
+	t.Cleanup(func() { end(); ln.Close(); <-over })
+	return s
+}
+
+// accept takes the next link, which must attach after so many notices.
+func (s *stand) accept(last int) {
+	s.Helper()
+	conn, err := s.ln.Accept()
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.conn, s.in = conn, bufio.NewScanner(conn)
+	s.conn.SetDeadline(time.Now().Add(soon))
+	s.Cleanup(func() { conn.Close() })
+	s.reads(fmt.Sprintf(`{"t":"ATTACH","no":%d}`, last))
+}
+
+func (s *stand) reads(want string) {
+	s.Helper()
+	if !s.in.Scan() || s.in.Text() != want {
+		s.Fatalf("read %q, error %v; want %q", s.in.Text(), s.in.Err(), want)
+	}
+}
+
+func (s *stand) says(lines ...string) {
+	s.Helper()
+	if _, err := io.WriteString(s.conn, strings.Join(lines, "\n")+"\n"); err != nil {
+		s.Fatal(err)
+	}
+}
+
+// hello attaches a link: the STAT that follows is answered behind the notices missed.
+func (s *stand) hello(mark string, missed ...string) {
+	s.Helper()
+	s.says(`{"t":"HELLO","status":"booting","time_ms":12.5}`)
+	s.says(append(missed, `{"t":"NOTE","no":0,"status":"x"}`)...)
+	s.reads(`{"t":"STAT","mark":"` + mark + `"}`)
+	s.says(`{"t":"STATS","mark":"` + mark + `","v":[0.5,2,0.1,7]}`)
+}
+
+func (s *stand) run(id, body string) {
+	s.link.Run(id, "m", []byte(body), func(e End) { s.ends <- fmt.Sprintf("%s %d %g %s", id, e.Status, e.Spent, e.Result) })
+}
+
+func (s *stand) runs(id, body string) string {
+	return `{"t":"RUN","rid":"` + id + `","route":"m","b64":"` + base64.StdEncoding.EncodeToString([]byte(body)) + `"}`
+}
+
+func (s *stand) ended(want string) {
+	s.Helper()
+	select {
+	case got := <-s.ends:
+		if got != want {
+			s.Fatalf("end %q, want %q", got, want)
+		}
+	case <-time.After(soon):
+		s.Fatalf("no end, want %q", want)
+	}
+}
+
+func done(no int, id, status, body string) string {
+	return fmt.Sprintf(`{"t":"DONE","no":%d,"rid":"%s","status":"%s","time_ms":1.5,"b64":"%s"}`, no, id, status,
+		base64.StdEncoding.EncodeToString([]byte(body)))
+}
+
+func TestLink(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(s *stand)
+	}{
+		{"runs and their ends", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			s.run("a", "\x00\xff")
+			s.reads(s.runs("a", "\x00\xff"))
+			s.run("b", "")
+			s.reads(s.runs("b", ""))
+			s.says(done(1, "b", "failure", ""), done(2, "a", "success", "\xfe"))
+			s.ended("b 0 1.5 ")
+			s.ended("a 1 1.5 \xfe")
+		}},
+		{"an engine that starts long after", func(s *stand) {
+			s.run("a", "x")
+			s.accept(0)
+			s.run("b", "x")
+			s.hello("1")
+			s.reads(s.runs("a", "x"))
+			s.reads(s.runs("b", "x"))
+		}},
+		{"a break: missed notices come first, then what still runs is sent again", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			s.run("a", "x")
+			s.run("b", "x")
+			s.run("c", "x")
+			s.reads(s.runs("a", "x"))
+			s.reads(s.runs("b", "x"))
+			s.reads(s.runs("c", "x"))
+			s.says(done(1, "c", "success", ""))
+			s.ended("c 1 1.5 ")
+			s.conn.Close()
+			s.accept(1)
+			s.hello("2", done(1, "b", "failure", ""), done(2, "a", "success", "r"))
+			s.ended("a 1 1.5 r")
+			s.reads(s.runs("b", "x"))
+			s.says(done(2, "b", "success", ""), done(3, "b", "success", "s"))
+			s.ended("b 1 1.5 s")
+		}},
+		{"the same try sent to us twice runs once", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			s.run("a", "x")
+			s.run("a", "x")
+			s.reads(s.runs("a", "x"))
+			s.says(done(1, "a", "interrupted", ""))
+			s.ended("a 2 1.5 ")
+			s.ended("a 2 1.5 ")
+		}},
+		{"commands not carried out, and lines that make no sense", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			s.run("a", "x")
+			s.reads(s.runs("a", "x"))
+			s.says("", "{", `[1]`, `{"t":7}`, `{"t":"SING"}`, `{"t":"NO","status":"STAT"}`,
+				`{"t":"DONE","no":1,"rid":"never","status":"success"}`, `{"t":"NO","status":"RUN","rid":"a"}`)
+			s.ended("a 4 0 ")
+			s.run("b", "x")
+			s.reads(s.runs("b", "x"))
+			s.says(`{"t":"DONE","no":2,"rid":"b","status":"success","b64":"?"}`)
+			s.ended("b 0 0 ")
+		}},
+		{"a line without end", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			go s.conn.Write(make([]byte, 2*maxLine))
+			s.accept(0)
+		}},
+		{"gauges, and none in time", func(s *stand) {
+			s.accept(0)
+			if v := s.link.Gauges(soon); v != nil {
+				s.Errorf("gauges %v before any were told", v)
+			}
+			s.hello("1")
+			s.run("a", "x") // told apart from the STAT by its place: sent once the link is in step
+			s.reads(s.runs("a", "x"))
+			if v := s.link.Gauges(time.Millisecond); len(v) != 4 || v[1] != 2 {
+				s.Errorf("gauges %v", v)
+			}
+			s.reads(`{"t":"STAT","mark":"2"}`)
+			s.says(`{"t":"STATS","mark":"2","v":[0.5,3]}`)
+			got := make(chan []float64)
+			go func() { got <- s.link.Gauges(soon) }()
+			s.reads(`{"t":"STAT","mark":"3"}`)
+			s.says(`{"t":"STATS","mark":"3","v":[1,4]}`)
+			if v := <-got; len(v) != 2 || v[1] != 4 {
+				s.Errorf("gauges %v", v)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t)
+			c.do(s)
+			if len(s.cold) > 0 && !<-s.cold {
+				t.Error("booting was not told as cold")
+			}
+		})
+	}
+}
+
+func FuzzTake(f *testing.F) {
+	f.Add(done(1, "a", "success", "x"))
+	f.Add(`{"t":"NO","status":"RUN","rid":"a"}`)
+	f.Add(`{"t":"STATS","v":[1e400]}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		l := New("", log.WithField("node", "n0"), func(bool, time.Duration) {})
+		ends := 0
+		l.Run("a", "m", nil, func(End) { ends++ })
+		for range 2 {
+			l.read([]byte(s))
+		}
+		if ends > 1 {
+			t.Errorf("%d ends of one run", ends)
+		}
+	})
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"math"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -64,6 +65,7 @@
 // Gate is one instance.
 type Gate struct {
 	log  Log
+	now  func() time.Time
 	told *opening.Opening
 
 	methods   map[string]int
@@ -116,7 +118,7 @@
 // New returns a gate for a server told o. Its table of tokens stays under a quarter of memoryMB.
 func New(o *opening.Opening, memoryMB int, log Log) *Gate {
 	g := &Gate{
-		log: log, told: o,
+		log: log, now: time.Now, told: o,
 		methods: map[string]int{}, customers: map[string]int{},
 		maxTokens: memoryMB * 1024 / 4 / tokenKB,
 		tickets:   map[uint32]*Ticket{}, tokens: map[string]*token{},
@@ -147,7 +149,7 @@
 	if g.decide != nil {
 		return
 	}
-	now := time.Now()
+	now := g.now()
 	g.origin = now.Add(-ago)
 	o := g.told
 	node := o.Node
@@ -176,7 +178,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	at := time.Now()
+	at := g.now()
 	now := unixMs(at)
 	door := math.Min(math.Max(r.Door, now-g.told.Methods[m].Deadline), now)
 	t := &Ticket{
@@ -235,7 +237,7 @@
 // drop the token of what never ran.
 func (g *Gate) end(t *Ticket, v Verdict) {
 	if !t.final {
-		g.handle(g.clock(time.Now()), control.Event{Kind: control.Left, RPC: t.id})
+		g.handle(g.clock(g.now()), control.Event{Kind: control.Left, RPC: t.id})
 		t.finish(v)
 	}
 }
@@ -265,7 +267,7 @@
 		t.finish(Verdict{Answer: Aborted, Why: "the run failed"})
 	}
 	delete(g.tickets, t.id)
-	g.handle(g.clock(time.Now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
+	g.handle(g.clock(g.now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
 }
 
 // Tick moves the clock on, with the gauges as they stand in the order told, and returns the time until it
@@ -276,7 +278,7 @@
 	if g.decide == nil {
 		return 10 * time.Millisecond // nothing runs yet; the start is noticed soon enough
 	}
-	at := time.Now()
+	at := g.now()
 	now := g.clock(at)
 	if now >= g.wake {
 		ev := control.Event{Kind: control.Timer, Label: g.label}
@@ -316,7 +318,7 @@
 	defer g.mu.Unlock()
 	g.draining = true
 	if g.decide != nil {
-		g.handle(g.clock(time.Now()), control.Event{Kind: control.Notice, Time: float64(stop) / 1e6})
+		g.handle(g.clock(g.now()), control.Event{Kind: control.Notice, Time: float64(stop) / 1e6})
 	}
 }
 
@@ -352,12 +354,22 @@
 }
 
 // handle gives an event to the module and carries out what it says, and so on with what that brought about.
+// A panic in there costs the RPC concerned, not the server.
 func (g *Gate) handle(now float64, ev control.Event) {
 	g.todo = append(g.todo, ev)
 	if len(g.todo) > 1 {
 		return // the call below this one goes on with it
 	}
-	defer func() { g.todo = g.todo[:0] }()
+	defer func() {
+		g.todo = g.todo[:0]
+		if v := recover(); v != nil {
+			g.log(fmt.Sprintf("gate: panic in the decisions: %v\n%s", v, debug.Stack()))
+			if t := g.tickets[ev.RPC]; t != nil {
+				t.finish(Verdict{Answer: Aborted, Why: "a fault of the server"})
+			}
+			g.wake = math.Max(g.wake, now+faultPause)
+		}
+	}()
 	for i := 0; i < len(g.todo); i++ {
 		for _, a := range g.decide.Handle(now, g.todo[i]) {
 			g.carryOut(a)
@@ -365,6 +377,9 @@
 	}
 }
 
+// faultPause is the time to the next tick when one has ended in a panic before it asked for another.
+const faultPause = 40.0
+
 func (g *Gate) carryOut(a control.Action) {
 	switch a.Do {
 	case control.Arm:
@@ -455,7 +470,7 @@
 		}
 		g.forget(t.key, k)
 	}
-	until := math.Max(unixMs(time.Now())+life, t.door+g.told.Methods[t.method].Window+1) // door has whole ms
+	until := math.Max(unixMs(g.now())+life, t.door+g.told.Methods[t.method].Window+1) // door has whole ms
 	g.tokens[t.key] = &token{id: t.id, until: until, drop: until + g.told.Methods[t.method].Deadline}
 }
 
@@ -492,7 +507,7 @@
 }
 
 // later hands an event to the module after the one in hand, or now if there is none.
-func (g *Gate) later(ev control.Event) { g.handle(g.clock(time.Now()), ev) }
+func (g *Gate) later(ev control.Event) { g.handle(g.clock(g.now()), ev) }
 
 // finish gives the final verdict if there is none yet, and tells whether it did.
 func (t *Ticket) finish(v Verdict) bool {
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,423 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/opening"
+)
+
+const told = "classes.count=2\nclasses.0.name=view\nclasses.0.aim=1000000000\nclasses.0.give_up=2000000000\n" +
+	"classes.1.name=buy\nclasses.1.aim=1000000000\nclasses.1.give_up=2000000000\n" +
+	"classes.1.idempotency=idempotency_key\nclasses.1.window=8000000000\n" +
+	"customers.count=1\ncustomers.0.name=acme\nfamily_info.cores=2\nfamily_info.ram_kb=100000\n" +
+	"family_info.meters=core_use,on_cores\nrules.tip_multiple=8\nrules.drain_grace=1000000000\n" +
+	"limits.max_retry_after=1000000000\nrules.cold=10000000000\n"
+
+// world is a gate with a clock of its own.
+type world struct {
+	*testing.T
+	*Gate
+	at    time.Time
+	lines []string
+	mu    sync.Mutex
+}
+
+func open(t *testing.T, started bool) *world {
+	o, err := opening.Parse(told)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{T: t, at: time.UnixMilli(1_700_000_000_000)}
+	w.Gate = New(o, 64, func(s string) {
+		w.mu.Lock()
+		w.lines = append(w.lines, s)
+		w.mu.Unlock()
+	})
+	w.now = func() time.Time { return w.at }
+	if started {
+		w.Start(false, 0)
+	}
+	return w
+}
+
+// pass lets time go by, with a tick at each 10 ms.
+func (w *world) pass(d time.Duration) {
+	for end := w.at.Add(d); w.at.Before(end); {
+		w.at = w.at.Add(10 * time.Millisecond)
+		w.Tick(nil)
+	}
+}
+
+// enter reads an RPC that has just come.
+func (w *world) enter(method, token string) *Ticket {
+	return w.enterAt(method, token, w.at)
+}
+
+func (w *world) enterAt(method, token string, door time.Time) *Ticket {
+	w.Helper()
+	t, err := w.Enter(RPC{
+		Method: method, Customer: "acme", Caller: 1, Door: unixMs(door), HeldKB: 10, Token: token, Hint: 100,
+	})
+	if err != nil {
+		w.Fatal(err)
+	}
+	return t
+}
+
+// expect checks the next verdict without waiting for it; -1 stands for none.
+func (w *world) expect(t *Ticket, want Answer) Verdict {
+	w.Helper()
+	select {
+	case v := <-t.verdicts:
+		if v.Answer != want {
+			w.Fatalf("verdict %+v, want answer %d", v, want)
+		}
+		return v
+	default:
+		if want >= 0 {
+			w.Fatalf("no verdict, want answer %d", want)
+		}
+	}
+	return Verdict{}
+}
+
+func TestVerdicts(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(w *world)
+	}{
+		{"ok", func(w *world) {
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			a.Report(Succeeded, 100, []byte("r"))
+			if v := w.expect(a, OK); string(v.Result) != "r" {
+				w.Errorf("result %q", v.Result)
+			}
+		}},
+		{"a failed run", func(w *world) {
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			a.Report(Failed, 100, nil)
+			w.expect(a, Aborted)
+		}},
+		{"an end that is told twice", func(w *world) {
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			a.Report(Failed, 100, nil)
+			a.Report(Succeeded, 100, nil)
+			w.expect(a, Aborted)
+			w.expect(a, -1)
+		}},
+		{"given up when due, the run's end comes later", func(w *world) {
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			w.pass(1900 * time.Millisecond)
+			w.expect(a, -1)
+			w.pass(100 * time.Millisecond)
+			w.expect(a, Aborted)
+			a.Report(Succeeded, 2000, nil)
+			w.expect(a, -1)
+		}},
+		{"cancelled while held: what waits behind it runs", func(w *world) {
+			a, b, c, d := w.enter("view", ""), w.enter("view", ""), w.enter("view", ""), w.enter("view", "")
+			w.expect(a, Run)
+			w.expect(b, Run)
+			w.expect(c, -1)
+			c.Leave()
+			w.expect(c, Gone)
+			a.Report(Succeeded, 100, nil)
+			w.expect(d, Run)
+		}},
+		{"cancelled while it runs", func(w *world) {
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			a.Leave()
+			w.expect(a, Gone)
+			a.Report(Succeeded, 100, nil)
+			w.expect(a, -1)
+		}},
+		{"an answer before the cancel", func(w *world) {
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			a.Report(Succeeded, 100, nil)
+			a.Leave()
+			w.expect(a, OK)
+			w.expect(a, -1)
+		}},
+		{"overdue, as the module never looked", func(w *world) {
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			w.decide.Handle(w.clock(w.at), control.Event{Kind: control.Left, RPC: a.id}) // it has lost it
+			w.pass(2100 * time.Millisecond)
+			w.expect(a, Aborted)
+		}},
+		{"drained: within the grace and after", func(w *world) {
+			w.Drain(3 * time.Second)
+			if w.Good() {
+				w.Error("health is good in a drain")
+			}
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			a.Report(Succeeded, 10, nil)
+			w.pass(1010 * time.Millisecond)
+			w.expect(w.enter("view", ""), PushedBack)
+		}},
+		{"a stall is made up for by one tick", func(w *world) {
+			a := w.enter("view", "")
+			w.expect(a, Run)
+			w.at = w.at.Add(5 * time.Second)
+			if next := w.Tick(nil); next > 50*time.Millisecond {
+				w.Errorf("next tick in %v", next)
+			}
+			w.expect(a, Aborted)
+		}},
+		{"a clock of the callers that is wrong", func(w *world) {
+			w.expect(w.enterAt("view", "", w.at.Add(time.Hour)), Run)
+			w.expect(w.enterAt("view", "", w.at.Add(-time.Hour)), PushedBack)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := open(t, true)
+			c.do(w)
+			w.pass(20 * time.Second)
+			for _, left := range w.tickets {
+				if !left.final {
+					t.Error("one in hand at the end, without an answer")
+				}
+			}
+		})
+	}
+}
+
+func TestTokens(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(w *world, first *Ticket)
+	}{
+		{"a repeat waits for the run", func(w *world, first *Ticket) {
+			a := w.enter("buy", "k")
+			w.expect(a, -1)
+			first.Report(Succeeded, 10, []byte("r"))
+			if v := w.expect(a, OK); string(v.Result) != "r" {
+				w.Errorf("result %q", v.Result)
+			}
+		}},
+		{"a repeat gets the result kept", func(w *world, first *Ticket) {
+			first.Report(Succeeded, 10, []byte("r"))
+			w.pass(7 * time.Second)
+			if v := w.expect(w.enter("buy", "k"), OK); string(v.Result) != "r" {
+				w.Errorf("result %q", v.Result)
+			}
+		}},
+		{"another token runs", func(w *world, first *Ticket) {
+			w.expect(w.enter("buy", "other"), Run)
+		}},
+		{"past the window it runs again", func(w *world, first *Ticket) {
+			first.Report(Succeeded, 10, nil)
+			w.pass(8020 * time.Millisecond)
+			w.expect(w.enter("buy", "k"), Run)
+		}},
+		{"written within the window, read after it", func(w *world, first *Ticket) {
+			first.Report(Succeeded, 10, []byte("r"))
+			door := w.at.Add(7990 * time.Millisecond)
+			w.pass(8500 * time.Millisecond)
+			w.expect(w.enterAt("buy", "k", door), OK)
+		}},
+		{"a failed run is not run again", func(w *world, first *Ticket) {
+			first.Report(Failed, 10, nil)
+			w.expect(w.enter("buy", "k"), Aborted)
+		}},
+		{"a run that never began leaves nothing", func(w *world, first *Ticket) {
+			a := w.enter("buy", "k")
+			first.Report(NotStarted, 0, nil)
+			w.expect(a, Aborted)
+			w.expect(w.enter("buy", "k"), Run)
+		}},
+		{"a run given up serves a later repeat", func(w *world, first *Ticket) {
+			w.pass(2 * time.Second)
+			w.expect(first, Aborted)
+			a := w.enter("buy", "k")
+			w.expect(a, -1)
+			first.Report(Succeeded, 2100, []byte("r"))
+			w.expect(a, OK)
+		}},
+		{"a repeat given up while it waits", func(w *world, first *Ticket) {
+			a := w.enter("buy", "k")
+			a.Leave()
+			w.expect(a, Gone)
+			first.Report(Succeeded, 10, nil)
+			w.expect(a, -1)
+		}},
+		{"a repeat in a drain is not pushed back", func(w *world, first *Ticket) {
+			w.Drain(3 * time.Second)
+			w.pass(1100 * time.Millisecond)
+			w.expect(w.enter("buy", "k"), Aborted)
+		}},
+		{"a try that left the hold is forgotten", func(w *world, first *Ticket) {
+			b, c := w.enter("view", ""), w.enter("buy", "held")
+			w.expect(b, Run)
+			w.expect(c, -1)
+			c.Leave()
+			first.Report(Succeeded, 10, nil)
+			w.expect(w.enter("buy", "held"), Run)
+		}},
+		{"the module asks for a second run", func(w *world, first *Ticket) {
+			a := w.enter("buy", "other")
+			w.expect(a, Run)
+			a.running, a.key, a.door = false, first.key, first.door
+			w.carryOut(control.Action{Do: control.Run, RPC: a.id})
+			w.expect(a, Aborted)
+		}},
+		{"the module pushes back what has run", func(w *world, first *Ticket) {
+			w.carryOut(control.Action{Do: control.PushBack, RPC: first.id})
+			w.expect(first, Aborted)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := open(t, true)
+			first := w.enter("buy", "k")
+			w.expect(first, Run)
+			c.do(w, first)
+			first.Report(Interrupted, 10, nil)
+			w.pass(30 * time.Second)
+			for key, k := range w.tokens {
+				if k.over {
+					t.Errorf("token %q is still kept", key)
+				}
+			}
+		})
+	}
+}
+
+func TestEnterErrors(t *testing.T) {
+	cases := []struct {
+		name, bad string
+		rpc       RPC
+	}{
+		{"method", "method \"sell\"", RPC{Method: "sell", Customer: "acme"}},
+		{"customer", "customer \"umbra\"", RPC{Method: "view", Customer: "umbra"}},
+		{"token", "a token expected", RPC{Method: "buy", Customer: "acme"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if _, _, err := open(t, true).Pick(context.Background(), c.rpc); err == nil || !strings.Contains(err.Error(), c.bad) {
+				t.Errorf("error %v, want %q", err, c.bad)
+			}
+		})
+	}
+}
+
+func TestStart(t *testing.T) {
+	cases := []struct {
+		name      string
+		cold      bool
+		ago       time.Duration
+		low, high int // taken of 100 callers
+	}{
+		{"warm", false, 0, 100, 100},
+		{"cold", true, 0, 0, 15},
+		{"cold, the engine half way up the ramp", true, 2 * time.Second, 40, 80},
+		{"cold, long ago", true, time.Hour, 100, 100},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := open(t, false)
+			w.expect(w.enter("view", ""), PushedBack) // before the start
+			w.Start(c.cold, c.ago)
+			w.Start(!c.cold, 0) // a new link tells it again
+			taken := 0
+			for i := range 100 {
+				a, v, err := w.Pick(context.Background(), RPC{Method: "view", Customer: "acme", Caller: uint16(i), Subject: uint64(i), Door: unixMs(w.at)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if v.Answer == Run {
+					taken++
+					a.Report(Succeeded, 10, nil)
+				}
+			}
+			if taken < c.low || taken > c.high {
+				t.Errorf("%d of 100 taken, want %d to %d", taken, c.low, c.high)
+			}
+		})
+	}
+}
+
+// A panic in the module costs one RPC.
+func TestPanic(t *testing.T) {
+	w := open(t, true)
+	a := w.enter("view", "")
+	w.expect(a, Run)
+	good := w.decide
+	w.decide = &control.Control{} // any event makes it panic
+	b := w.enter("view", "")
+	w.expect(b, Aborted)
+	w.decide = good
+	a.Report(Succeeded, 10, nil)
+	w.expect(a, OK)
+	if len(w.lines) == 0 || !strings.Contains(w.lines[0], "panic") {
+		t.Errorf("log lines %q", w.lines)
+	}
+}
+
+// All that can end an RPC races for it; each gets one final verdict and at most one run, and each token one run.
+func TestOneAnswer(t *testing.T) {
+	w := open(t, true)
+	w.now = time.Now
+	w.decide = nil
+	w.Start(false, 0)
+	var all sync.WaitGroup
+	runs := map[string]int{}
+	for i := range 300 {
+		token := fmt.Sprint("k", i/3)
+		ctx, leave := context.WithCancel(context.Background())
+		all.Go(func() {
+			a, v, err := w.Pick(ctx, RPC{Method: []string{"view", "buy"}[i%2], Customer: "acme", Door: unixMs(time.Now()), Token: token})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			for v.Answer == Run {
+				w.mu.Lock()
+				runs[token+fmt.Sprint(i%2)]++
+				w.mu.Unlock()
+				all.Go(leave)
+				all.Go(func() { a.Report(Outcome(i%3), 1, nil) })
+				all.Go(func() { a.Report(Succeeded, 1, nil) })
+				v = a.Wait(ctx)
+			}
+			select {
+			case v := <-a.verdicts:
+				t.Errorf("%+v after the final verdict", v)
+			default:
+			}
+		})
+		all.Go(func() { w.Tick([]float64{1, 1}) })
+		if i%7 == 0 {
+			all.Go(leave)
+		}
+		if i == 250 {
+			all.Go(func() { w.Drain(time.Second) })
+		}
+	}
+	all.Wait()
+	for i := 0; i < 1000 && w.InHand() > 0; i++ {
+		w.Tick(nil)
+	}
+	if n := w.InHand(); n > 0 {
+		t.Errorf("%d in hand at the end", n)
+	}
+	for key, n := range runs {
+		if n > 1 && strings.HasSuffix(key, "1") {
+			t.Errorf("token %s ran %d times", key, n)
+		}
+	}
+}
--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -1,6 +1,7 @@
 package opening
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -47,3 +48,72 @@
 		}
 	})
 }
+
+const process = `{"name":"n3","listen":"127.0.0.1:8080","engine":"127.0.0.2:4400","members":"127.0.0.3:2379",
+"seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":0.5,"memory_mb":128,"sockets":512},"settings":{
+"classes":[{"name":"view","aim":1800000000,"idempotency":"read_like","late_worth":0.2},{"name":"buy","idempotency":"idempotency_key","window":5000000000}],
+"customers":[{"name":"acme","quota_rps":52.0}],"client_habits":{"marks_retry":true},"limits":{"retry_after":true,"max_retry_after":1000000000},
+"family_info":{"cores":6,"halt":"suspend","meters":["core_use","on_cores"],"worth_without":[0.0,0.3]},"new":{"key":[1,{"a":null}]}}}`
+
+func TestParseProcess(t *testing.T) {
+	cases := []struct{ name, old, new, bad string }{
+		{"sound", "", "", ""},
+		{"no JSON", `{"name"`, `{name`, "a JSON object expected"},
+		{"more behind it", `}}}`, `}}}{`, "one JSON object expected"},
+		{"no name", `"name":"n3",`, "", "name: a text expected, nothing there"},
+		{"a name of another type", `"n3"`, "3", `name: a text expected, "3" there`},
+		{"a name for no path", `"n3"`, `"a/b"`, "name: a name that can stand in a path"},
+		{"no port", "127.0.0.2:4400", "127.0.0.2", "engine: an IP address and a port"},
+		{"port out of range", "127.0.0.3:2379", "127.0.0.3:70000", "members: an IP address and a port"},
+		{"a host by name", "127.0.0.3:2379", "db:2379", "members: an IP address and a port"},
+		{"seed", "8c1f", "xyz", "seed: up to 16 hex digits"},
+		{"time to the stop", "3200", "-1", "stop_ms: a number from 0 up"},
+		{"memory out of range", `"memory_mb":128`, `"memory_mb":1`, "limits.memory_mb: a number from 16"},
+		{"sockets of another type", "512", `"512"`, "limits.sockets: a number"},
+		{"settings of another type", `"settings":{`, `"settings":7,"other":{`, "settings: an object expected"},
+		{"no method", `"classes"`, `"other"`, "settings.classes.count: at least 1"},
+		{"a time of another type", "1800000000", `"soon"`, "settings.classes.0.aim: a number from 0 up"},
+		{"an object for a number", `"cores":6`, `"cores":{"a":1}`, "settings.family_info.cores: a number"},
+		{"a truth of another type", `"marks_retry":true`, `"marks_retry":1`, "settings.client_habits.marks_retry: true or false"},
+		{"unknown repeat kind", "idempotency_key", "maybe", "settings.classes.1.idempotency: read_like"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p, err := parseProcess([]byte(strings.Replace(process, c.old, c.new, 1)), "", "127.0.0.9:1")
+			if c.bad != "" {
+				if err == nil || !strings.Contains(err.Error(), c.bad) {
+					t.Fatalf("error %v, want %q", err, c.bad)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			o := p.Opening
+			if p.Name != "n3" || p.Listen != "127.0.0.9:1" || p.Stop.Milliseconds() != 3200 || p.Cores != 0.5 ||
+				p.MemoryMB != 128 || p.Sockets != 512 || o.Node.Seed != 0x8c1f30d27a5be964 || o.Node.Cores != 6 ||
+				o.Node.Stop != control.StopPause || !o.Fleet.Marks || o.Fleet.MaxRetryAfter != 1000 ||
+				len(o.Methods) != 2 || o.Methods[0].LateShare != 0.2 || o.Methods[1].SkipShare != 0.3 ||
+				o.Methods[1].Window != 5000 || o.Customers[0].Name != "acme" || len(o.Gauges) != 2 {
+				t.Errorf("got %+v with %+v", p, o)
+			}
+		})
+	}
+}
+
+func TestLoad(t *testing.T) {
+	dir := t.TempDir()
+	sound, broken := dir+"/sound.json", dir+"/broken.json"
+	for file, text := range map[string]string{sound: process, broken: "{"} {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for file, bad := range map[string]string{sound: "", broken: "broken.json: a JSON object", "": "EDGE_CONFIG: the path", dir + "/none": "EDGE_CONFIG: open"} {
+		env := map[string]string{"EDGE_CONFIG": file, "EDGE_NAME": "n7"}
+		p, err := Load(func(key string) string { return env[key] })
+		if bad == "" && (err != nil || p.Name != "n7") || bad != "" && (err == nil || !strings.Contains(err.Error(), bad)) {
+			t.Errorf("%s: %+v, error %v; want %q", file, p, err, bad)
+		}
+	}
+}
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -229,6 +229,13 @@
 	}
 }
 
+// idle tells whether nothing is open and no closing notice has gone out, and when something last was.
+func (c *conn) idle() (bool, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) == 0 && c.told.IsZero(), c.last
+}
+
 // retire closes a connection that has carried nothing for so long: first it is told, then its router closes
 // it, and if that does not come it is closed from here.
 func (c *conn) retire(idle time.Duration) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,6 +85,7 @@
 		case s.slots <- struct{}{}:
 		default:
 			s.log.WithField("most", cap(s.slots)).Warn("server: connection limit reached")
+			s.makeRoom()
 			s.slots <- struct{}{}
 		}
 		nc, err := ln.Accept()
@@ -130,6 +131,20 @@
 	}
 }
 
+// makeRoom asks the router of the connection that has been idle for longest to close it.
+func (s *Server) makeRoom() {
+	var oldest *conn
+	var since time.Time
+	for _, c := range s.all() {
+		if idle, last := c.idle(); idle && (oldest == nil || last.Before(since)) {
+			oldest, since = c, last
+		}
+	}
+	if oldest != nil {
+		oldest.closing()
+	}
+}
+
 func (s *Server) all() []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,409 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/msgpack"
+	"sorrelvalve/internal/opening"
+)
+
+// soon bounds what must come at once; it is long only so that a busy machine fails no test.
+const soon = 10 * time.Second
+
+// rig is a server whose runs end when the test says so, with one connection to it.
+type rig struct {
+	*testing.T
+	s    *Server
+	g    *gate.Gate
+	addr string
+	ln   net.Listener
+	conn net.Conn
+	buf  []byte
+	mu   sync.Mutex
+	runs chan running
+}
+
+type running struct {
+	id, method, body string
+	done             func(gate.Outcome, float64, []byte)
+}
+
+func start(t *testing.T, sockets int) *rig {
+	o, err := opening.Parse("classes.count=2\nclasses.0.name=view\nclasses.0.aim=9000000000\n" +
+		"classes.1.name=buy\nclasses.1.aim=9000000000\nclasses.1.idempotency=idempotency_key\n" +
+		"classes.1.window=8000000000\nfamily_info.cores=64\nfamily_info.ram_kb=1000000\nrules.tip_multiple=8\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &rig{T: t, ln: ln, addr: ln.Addr().String(), runs: make(chan running, 1000)}
+	r.g = gate.New(o, 64, func(string) {})
+	r.g.Start(false, 0)
+	r.s = New(r.g, func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
+		if string(body) == "panic" {
+			panic("the runner")
+		}
+		r.runs <- running{id, method, string(body), done}
+	}, sockets, log.WithField("node", "n0"))
+	over := make(chan struct{})
+	go func() { r.s.Serve(ln); close(over) }()
+	t.Cleanup(func() {
+		ln.Close()
+		<-over
+		ctx, end := context.WithCancel(context.Background())
+		end()
+		r.s.Finish(ctx)
+	})
+	r.conn = r.dial()
+	return r
+}
+
+func (r *rig) dial() net.Conn {
+	conn, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		r.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(soon))
+	r.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// rpc is a frame with the fields given as key, value, ... behind the usual ones.
+func rpc(id uint64, method, body string, more ...string) string {
+	f := append([]string{"txn", fmt.Sprint("t", id), "door", fmt.Sprint(time.Now().UnixMilli()), "lb", "4", "ram", "24.5",
+		"cpu", "12.50", "standing", "0.6250", "item", "7f3a9c21e0b4d655"}, more...)
+	b := msgpack.AppendString(msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(nil, 4), typeCall), id), method)
+	b = msgpack.AppendMap(msgpack.AppendArray(b, 2), len(f)/2)
+	for _, s := range f {
+		b = msgpack.AppendString(b, s)
+	}
+	return string(msgpack.AppendBinHead(b, len(body))) + body
+}
+
+func (r *rig) says(s string) {
+	r.Helper()
+	if _, err := io.WriteString(r.conn, s); err != nil {
+		r.Fatal(err)
+	}
+}
+
+// next reads one message whole and shows it in short; "" is the end of the connection.
+func (r *rig) next() string {
+	r.Helper()
+	for {
+		p := msgpack.Parse(r.buf)
+		if p.Skip(); p.Err() == nil {
+			s := show(r.buf[:p.At()])
+			r.buf = r.buf[p.At():]
+			return s
+		}
+		b := make([]byte, 4096)
+		n, err := r.conn.Read(b)
+		if r.buf = append(r.buf, b[:n]...); n == 0 && err == io.EOF {
+			return ""
+		} else if n == 0 {
+			r.Fatal(err)
+		}
+	}
+}
+
+// show is a message as "id error result", or the name of a notice.
+func show(b []byte) string {
+	p := msgpack.Parse(b)
+	if p.Array() == 3 {
+		p.Uint()
+		return string(p.Bytes())
+	}
+	p.Uint()
+	id := p.Uint()
+	if q := p; true {
+		if q.Nil(); q.Err() == nil {
+			q.Array()
+			v := q
+			if result := v.Bytes(); v.Err() == nil {
+				return fmt.Sprintf("%d ok %s", id, result)
+			}
+			return fmt.Sprintf("%d health %v", id, q.Bool())
+		}
+	}
+	p.Array()
+	return fmt.Sprintf("%d %s", id, p.Bytes())
+}
+
+func (r *rig) expect(want ...string) {
+	r.Helper()
+	for _, w := range want {
+		if got := r.next(); got != w {
+			r.Fatalf("read %q, want %q", got, w)
+		}
+	}
+}
+
+// end takes the next run and ends it with a result made of its body.
+func (r *rig) end(body string) running {
+	r.Helper()
+	select {
+	case run := <-r.runs:
+		if run.body != body {
+			r.Fatalf("run of %q, want %q", run.body, body)
+		}
+		run.done(gate.Succeeded, 1, []byte("r-"+run.body))
+		return run
+	case <-time.After(soon):
+		r.Fatal("no run")
+	}
+	return running{}
+}
+
+func TestConnection(t *testing.T) {
+	cancel := func(id uint64) string {
+		b := msgpack.AppendString(msgpack.AppendUint(msgpack.AppendArray(nil, 3), typeNotice), "cancel")
+		return string(msgpack.AppendUint(msgpack.AppendArray(b, 1), id))
+	}
+	health := "\x94\x00\x63\xa6health\x91\x80"
+	cases := []struct {
+		name string
+		do   func(r *rig)
+	}{
+		{"one RPC", func(r *rig) {
+			r.says(rpc(1, "view", "\x00\xff"))
+			if run := r.end("\x00\xff"); run.id != "t1" || run.method != "view" {
+				r.Errorf("ran %+v", run)
+			}
+			r.expect("1 ok r-\x00\xff")
+		}},
+		{"one byte at a time", func(r *rig) {
+			for _, c := range []byte(rpc(1, "view", "a")) {
+				r.says(string([]byte{c}))
+			}
+			r.end("a")
+			r.expect("1 ok r-a")
+		}},
+		{"many in one segment, answered in any order", func(r *rig) {
+			s := ""
+			for id := uint64(1); id <= 32; id++ {
+				s += rpc(id, "view", "b")
+			}
+			r.says(s + health)
+			r.expect("99 health true")
+			for range 32 {
+				r.end("b")
+			}
+			for range 32 {
+				if got := r.next(); !strings.HasSuffix(got, " ok r-b") {
+					r.Fatalf("read %q", got)
+				}
+			}
+		}},
+		{"a body and a result of the largest size", func(r *rig) {
+			r.says(rpc(1, "view", strings.Repeat("x", maxBody)))
+			run := <-r.runs
+			run.done(gate.Succeeded, 1, []byte(strings.Repeat("y", 4096)))
+			r.expect("1 ok " + strings.Repeat("y", 4096))
+		}},
+		{"a run that failed", func(r *rig) {
+			r.says(rpc(1, "view", ""))
+			run := <-r.runs
+			run.done(gate.Failed, 1, nil)
+			r.expect("1 Aborted")
+		}},
+		{"a cancelled one has no answer", func(r *rig) {
+			r.says(rpc(1, "view", "a") + cancel(1) + cancel(77) + "\x93\x02\xa4sing\x90" + rpc(2, "view", "b"))
+			for range 2 {
+				run := <-r.runs
+				run.done(gate.Succeeded, 1, []byte("r-"+run.body))
+			}
+			r.expect("2 ok r-b")
+		}},
+		{"a repeat is joined", func(r *rig) {
+			r.says(rpc(1, "buy", "a", "unique", "u") + rpc(2, "buy", "a", "unique", "u", "second", "1"))
+			r.end("a")
+			for range 2 {
+				if got := r.next(); !strings.HasSuffix(got, " ok r-a") {
+					r.Fatalf("read %q", got)
+				}
+			}
+		}},
+		{"past the drain's grace it is pushed back", func(r *rig) {
+			r.g.Drain(time.Millisecond)
+			r.says(rpc(1, "view", "") + health)
+			for range 2 {
+				if got := r.next(); got != "1 Overloaded" && got != "99 health false" {
+					r.Errorf("read %q", got)
+				}
+			}
+		}},
+		{"senseless RPCs, and the connection goes on", func(r *rig) {
+			for i, s := range []string{
+				rpc(1, "sell", ""), rpc(2, "view", "", "door", "soon"), rpc(3, "view", "", "cpu", "NaN"),
+				rpc(4, "view", "", "lb", "70000"), rpc(5, "view", "", "item", "xyz"), rpc(6, "buy", ""),
+				rpc(7, "view", "", "txn", ""), rpc(8, "view", strings.Repeat("x", maxBody+1)),
+				"\x94\x00\x09\xa4view\x91\x80", "\x94\x00\x0a\xa4view\x92\x81\xa1a\x07\xc4\x00", "\x94\x00\x0b\xa4view\x92\x80\x07",
+			} {
+				r.says(s)
+				r.expect(fmt.Sprintf("%d Invalid", i+1))
+			}
+			r.says(rpc(20, "view", "a"))
+			r.end("a")
+			r.expect("20 ok r-a")
+		}},
+		{"a half-closed connection gets its answers", func(r *rig) {
+			r.says(rpc(1, "view", "a"))
+			r.conn.(*net.TCPConn).CloseWrite()
+			r.end("a")
+			r.expect("1 ok r-a", "")
+		}},
+		{"a reset connection takes nothing with it", func(r *rig) {
+			r.says(rpc(1, "view", "a"))
+			run := <-r.runs
+			r.conn.(*net.TCPConn).SetLinger(0)
+			r.conn.Close()
+			r.conn = r.dial()
+			r.says(rpc(1, "view", "b"))
+			r.end("b")
+			r.expect("1 ok r-b")
+			run.done(gate.Succeeded, 1, nil)
+		}},
+		{"a panic on an RPC", func(r *rig) {
+			r.says(rpc(1, "view", "panic"))
+			r.expect("1 Internal")
+			r.says(rpc(2, "view", "a"))
+			r.end("a")
+			r.expect("2 ok r-a")
+		}},
+		{"a caller that reads nothing holds up no other", func(r *rig) {
+			big := []byte(strings.Repeat("z", 4<<20))
+			r.says(rpc(1, "view", "slow"))
+			run := <-r.runs
+			run.done(gate.Succeeded, 1, big) // more than the socket's buffers hold
+			slow := r.conn
+			r.conn = r.dial()
+			r.says(rpc(1, "view", "a"))
+			r.end("a")
+			r.expect("1 ok r-a")
+			r.conn = slow
+			r.expect("1 ok " + string(big))
+		}},
+		{"an idle connection is told, and closed", func(r *rig) {
+			r.says(health)
+			r.expect("99 health true")
+			for _, c := range r.s.all() {
+				c.mu.Lock()
+				c.last = c.last.Add(-time.Hour)
+				c.mu.Unlock()
+			}
+			r.expect("closing", "")
+		}},
+		{"at the end what is in hand is answered, then all is closed", func(r *rig) {
+			r.says(rpc(1, "view", "a"))
+			run := <-r.runs
+			ctx, end := context.WithTimeout(context.Background(), soon)
+			defer end()
+			over := make(chan struct{})
+			go func() { r.s.Finish(ctx); close(over) }()
+			r.expect("closing")
+			run.done(gate.Succeeded, 1, []byte("r"))
+			r.expect("1 ok r")
+			r.conn.Close()
+			<-over
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			c.do(start(t, 1024))
+		})
+	}
+}
+
+// A broken frame ends the connection once what came whole before it has been answered.
+func TestBrokenFrames(t *testing.T) {
+	cases := []struct{ name, in string }{
+		{"not MessagePack", "\xc1"},
+		{"not a message", "\x07"},
+		{"an unknown type", "\x94\x05\x01\xa1m\x90"},
+		{"an answer", "\x94\x01\x01\xc0\xc0"},
+		{"a call with too few parts", "\x93\x00\x01\xa1m"},
+		{"a method that is no text", "\x94\x00\x02\x07\x90"},
+		{"too deep", strings.Repeat("\x91", 100)},
+		{"too long", rpc(2, "view", strings.Repeat("x", maxFrame))},
+		{"an id that is open", rpc(1, "view", "")},
+		{"the end within a message", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, 1024)
+			r.says(rpc(1, "view", "a") + c.in)
+			if c.in == "" {
+				r.says("\x94")
+				r.conn.(*net.TCPConn).CloseWrite()
+			}
+			r.end("a")
+			r.expect("1 ok r-a", "")
+		})
+	}
+}
+
+// At the limit of connections the one that is idle for longest makes room.
+func TestConnectionLimit(t *testing.T) {
+	r := start(t, 0) // the least there is: 8
+	r.says(rpc(1, "view", "a"))
+	run := <-r.runs
+	busy := r.conn
+	for range 9 {
+		r.conn = r.dial()
+		r.says("\x94\x00\x63\xa6health\x91\x80")
+	}
+	r.expect("99 health true") // the tenth is served, too
+	r.conn = busy
+	run.done(gate.Succeeded, 1, []byte("r"))
+	r.expect("1 ok r")
+}
+
+func TestAbsent(t *testing.T) {
+	o := &opening.Opening{}
+	if names := Absent(o); names != nil {
+		t.Errorf("absent %q of nothing", names)
+	}
+	o.Below.Share, o.Node.Stop, o.Fleet.Say, o.Fleet.TellsTime = 2, control.StopAbort, control.SayLevel, true
+	if names := Absent(o); len(names) != 4 || o.Below.Share != 0 || o.Node.Stop != control.StopNone ||
+		o.Fleet.Say != control.SayNone || o.Fleet.TellsTime {
+		t.Errorf("absent %q, told %+v", names, o)
+	}
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(rpc(1, "view", "a")))
+	f.Add([]byte("\x93\x02\xa6cancel\x91\x07"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, size, err := parseMessage(b)
+		if err != nil {
+			return
+		}
+		if size < 1 || size > len(b) {
+			t.Fatalf("message of %d bytes in %d", size, len(b))
+		}
+		parseCancel(m.params)
+		if rpc, txn, body, err := parseRPC(m.method, m.params); err == nil &&
+			(txn == "" || len(body) > maxBody || !(rpc.Door > 0) || !(rpc.Hint >= 0 && rpc.HeldKB >= 0)) {
+			t.Errorf("took %+v, txn %q", rpc, txn)
+		}
+	})
+}
