--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -70,14 +70,12 @@
 // report sends one report. A connection that was kept may have been closed meanwhile, so that is tried once more.
 func (r *Reporter) report(ctx context.Context, up bool) error {
 	kept := r.conn != nil
-	err := r.put(ctx, up)
-	if err != nil {
-		r.close()
-		if kept && ctx.Err() == nil {
-			if err = r.put(ctx, up); err != nil {
-				r.close()
-			}
-		}
+	code, err := r.put(ctx, up)
+	if err != nil && kept && ctx.Err() == nil {
+		code, err = r.put(ctx, up)
+	}
+	if err == nil && (code < 200 || code > 299) {
+		err = fmt.Errorf("status %d", code)
 	}
 	return err
 }
@@ -89,12 +87,19 @@
 	}
 }
 
-func (r *Reporter) put(ctx context.Context, up bool) error {
+// put sends one report and returns the status of its answer. After an error there is no connection.
+func (r *Reporter) put(ctx context.Context, up bool) (code int, err error) {
+	keep := false
+	defer func() {
+		if !keep {
+			r.close()
+		}
+	}()
 	if r.conn == nil {
 		d := net.Dialer{Timeout: timeout}
 		conn, err := d.DialContext(ctx, "tcp", r.Addr)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		r.conn, r.in = conn, bufio.NewReaderSize(conn, 1<<10)
 	}
@@ -104,22 +109,12 @@
 	}
 	body := `{"phase":"` + phase + `"}`
 	r.conn.SetDeadline(time.Now().Add(timeout))
-	_, err := fmt.Fprintf(r.conn, "PUT /members/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"+
+	_, err = fmt.Fprintf(r.conn, "PUT /members/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"+
 		"Content-Length: %d\r\n\r\n%s", r.Name, r.Addr, len(body), body)
-	if err != nil {
-		return err
-	}
-	code, keep, err := readAnswer(r.in)
-	if err != nil {
-		return err
-	}
-	if !keep {
-		r.close()
-	}
-	if code < 200 || code > 299 {
-		return fmt.Errorf("status %d", code)
+	if err == nil {
+		code, keep, err = readAnswer(r.in)
 	}
-	return nil
+	return code, err
 }
 
 var errAnswer = errors.New("not an HTTP/1.1 answer")
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,149 @@
+package members
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const soon = 10 * time.Second // bounds what must come at once
+
+func TestReadAnswer(t *testing.T) {
+	cases := []struct {
+		name, in string
+		code     int
+		keep     bool
+		bad      bool
+	}{
+		{"no content", "HTTP/1.1 204 No Content\r\n\r\n", 204, true, false},
+		{"no words", "HTTP/1.1 204\r\n\r\n", 204, true, false},
+		{"a body", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", 200, true, false},
+		{"bare line feeds", "HTTP/1.1 200 OK\nContent-Length: 0\n\n", 200, true, false},
+		{"to be closed", "HTTP/1.1 204 No Content\r\nConnection: Close\r\n\r\n", 204, false, false},
+		{"an old version", "HTTP/1.0 204 No Content\r\n\r\n", 204, false, false},
+		{"a body of unknown length", "HTTP/1.1 500 Oh\r\n\r\nx", 500, false, false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 200, false, false},
+		{"one that goes before", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", 204, true, false},
+		{"cut off in the head", "HTTP/1.1 204 No Content\r\nA: b", 0, false, true},
+		{"cut off in the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", 0, false, true},
+		{"another protocol", "SSH-2.0\r\n\r\n", 0, false, true},
+		{"no number", "HTTP/1.1 OK\r\n\r\n", 0, false, true},
+		{"a false length", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", 0, false, true},
+		{"an endless body", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", 0, false, true},
+		{"an endless line", "HTTP/1.1 204 " + strings.Repeat("x", 5000), 0, false, true},
+		{"an endless head", "HTTP/1.1 204 X\r\n" + strings.Repeat("a: b\r\n", 5000), 0, false, true},
+		{"no colon", "HTTP/1.1 204 X\r\nab\r\n\r\n", 0, false, true},
+		{"nothing", "", 0, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			code, keep, err := readAnswer(bufio.NewReaderSize(strings.NewReader(c.in), 1<<10))
+			if (err != nil) != c.bad || code != c.code || keep != c.keep {
+				t.Errorf("got %d, %v, error %v", code, keep, err)
+			}
+		})
+	}
+}
+
+// TestReports has a stand-in service answer one report after the other, on as many connections as it takes.
+func TestReports(t *testing.T) {
+	const good = "HTTP/1.1 204 No Content\r\n\r\n"
+	cases := []struct {
+		name    string
+		answers []string // "" closes the connection without one
+		want    string   // what each report says, and on which connection it comes
+	}{
+		{"kept connection", []string{good, good, good}, "UP0 OUT0 UP0"},
+		{"closed after each", []string{"HTTP/1.1 204 X\r\nConnection: close\r\n\r\n", good}, "UP0 OUT1"},
+		{"a kept one closed without an answer", []string{good, "", good}, "UP0 OUT0 OUT1"},
+		{"a new one closed without an answer", []string{"", good}, "UP0 OUT1"},
+		{"another status", []string{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", good}, "UP0 OUT0"},
+		{"nonsense", []string{"what\r\n", good}, "UP0 OUT1"},
+		{"in pieces", []string{"HTTP/1.1 200 OK\r\nConte", "", good}, "UP0 OUT1 UP2"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			up, changed := false, make(chan struct{}, 1)
+			r := Reporter{
+				Addr: ln.Addr().String(), Name: "n3", Log: log.WithField("node", "n3"), Changed: changed,
+				Up: func() (bool, bool) { up = !up; return up, true },
+			}
+			ctx, end := context.WithCancel(context.Background())
+			reporting, serving, heard := make(chan struct{}), make(chan struct{}), make(chan string)
+			go func() { r.Serve(ctx); close(reporting) }()
+			go func() { stand(ln, c.answers, changed, heard); close(serving) }()
+			for _, want := range strings.Fields(c.want) {
+				select {
+				case got := <-heard:
+					if got != want {
+						t.Errorf("heard %s, want %s", got, want)
+					}
+				case <-time.After(soon):
+					t.Fatalf("no report, want %s", want)
+				}
+			}
+			end()
+			ln.Close()
+			<-reporting
+			<-serving
+		})
+	}
+}
+
+// stand answers reports on ln, one connection after the other, and tells what it has heard.
+func stand(ln net.Listener, answers []string, changed chan<- struct{}, heard chan<- string) {
+	for n := 0; len(answers) > 0; n++ {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		in := bufio.NewReader(conn)
+		for len(answers) > 0 {
+			conn.SetDeadline(time.Now().Add(soon))
+			q, err := http.ReadRequest(in)
+			if err != nil {
+				break
+			}
+			body, _ := io.ReadAll(q.Body)
+			if q.Method != "PUT" || q.URL.Path != "/members/n3" {
+				body = []byte(q.Method + q.URL.Path)
+			}
+			heard <- fmt.Sprint(strings.Trim(strings.TrimPrefix(string(body), `{"phase":"`), `"}`), n)
+			answer := answers[0]
+			answers = answers[1:]
+			io.WriteString(conn, answer)
+			if !strings.HasSuffix(answer, "\r\n\r\n") {
+				break
+			}
+			select {
+			case changed <- struct{}{}: // the next is to come at once
+			default:
+			}
+		}
+		conn.Close()
+	}
+}
+
+func FuzzReadAnswer(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	f.Fuzz(func(t *testing.T, s string) {
+		if code, _, err := readAnswer(bufio.NewReaderSize(strings.NewReader(s), 1<<10)); err == nil && (code < 200 || code > 999) {
+			t.Errorf("status %d", code)
+		}
+	})
+}
