Errors of runs tell how far they came; a token's window goes by the true door; a full table takes repeats

Found by reading: Enter moved the door of a try older than its deadline up, and compared that with the token's window, so such a try could have run a second time within it. A full table of tokens pushed back repeats of what had run. Lines of the log have constant texts, as the limit on floods counts by them.

--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -58,7 +58,13 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	g := gate.New(p.Opening, p.MemoryMB, func(text string) { log.Info(text) })
+	g := gate.New(p.Opening, p.MemoryMB, func(text, detail string) {
+		if detail == "" {
+			log.Info(text)
+		} else {
+			log.WithField("detail", detail).Error(text)
+		}
+	})
 	link := engine.New(p.Engine, log, g.Start)
 	srv := server.New(g, runner(link), p.Sockets, log)
 	report := members.Reporter{
@@ -107,13 +113,20 @@
 	}
 }
 
-// runner has runs done by the engine.
+// runner has runs done by the engine. An error that proves that nothing ran is told as such; any other may have
+// had its effect.
 func runner(link *engine.Link) server.Runner {
-	outcomes := map[engine.Status]gate.Outcome{
-		engine.Success: gate.Succeeded, engine.Interrupted: gate.Interrupted,
-		engine.Nothing: gate.NotStarted, engine.Turned: gate.NotStarted,
-	}
 	return func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
-		link.Run(id, method, body, func(e engine.End) { done(outcomes[e.Status], e.Spent, e.Result) })
+		link.Run(id, method, body, func(e engine.End) {
+			var failed *engine.Error
+			switch {
+			case e.Err == nil:
+				done(gate.Succeeded, e.Spent, e.Result)
+			case errors.As(e.Err, &failed) && failed.Reached < engine.MayHaveRun:
+				done(gate.NotStarted, e.Spent, nil)
+			default:
+				done(gate.Failed, e.Spent, nil)
+			}
+		})
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -19,25 +19,41 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Status is how a run ended.
-type Status int
+// Reached is how far the attempt at a run had come when it failed.
+type Reached int
 
 const (
-	Failure     Status = iota // may have had its effect
-	Success                   //
-	Interrupted               // stopped: may have had its effect
-	Nothing                   // nothing was started
-	Turned                    // the engine does not know the RPC, or not in this form
+	NotSent    Reached = iota
+	Sent               // to the engine, which started nothing
+	MayHaveRun         // and may have had its effect
 )
 
-// End is the end of a run.
+// Error is why a run has no result.
+type Error struct {
+	Reached Reached
+	Why     string
+}
+
+func (e *Error) Error() string { return e.Why }
+
+var (
+	errCrowded     = &Error{NotSent, "too many runs at once"}
+	errUnknown     = &Error{Sent, "not known to the engine"}
+	errNothing     = &Error{Sent, "nothing was started"}
+	errInterrupted = &Error{MayHaveRun, "the run was stopped"}
+	errFailed      = &Error{MayHaveRun, "the run failed"}
+	errResult      = &Error{MayHaveRun, "the result can't be read"}
+)
+
+// End is the end of a run: a result, or an error that is an *Error.
 type End struct {
-	Status Status
 	Spent  float64 // ms
 	Result []byte
+	Err    error
 }
 
 const (
+	maxRuns  = 8192                    // far above what any site's cores survive; 2 KiB each as base64
 	maxLine  = 64 << 10                // a result of 4 KiB takes 6 KB as base64; anything near this is no notice
 	dialTime = time.Second             // the engine is on the same machine
 	sendTime = 2 * time.Second         // for one line; an engine that reads none for so long is gone
@@ -107,6 +123,11 @@
 func (l *Link) Run(id, method string, body []byte, done func(End)) {
 	text := base64.StdEncoding.EncodeToString(body)
 	l.mu.Lock()
+	if len(l.runs) >= maxRuns {
+		l.mu.Unlock()
+		done(End{Err: errCrowded})
+		return
+	}
 	defer l.mu.Unlock()
 	if r := l.runs[id]; r != nil { // the same try, sent to us twice: it runs once
 		r.done = append(r.done, done)
@@ -252,22 +273,23 @@
 			return
 		}
 		l.log.WithFields(logrus.Fields{"command": n.Status, "rid": n.Rid}).Warn("engine: run not carried out")
-		l.end(n.Rid, End{Status: Turned})
+		l.end(n.Rid, End{Err: errUnknown})
 		return
 	case "DONE":
 		e := End{Spent: n.TimeMs}
 		switch n.Status {
 		case "success":
-			e.Status = Success
+			var err error
+			if e.Result, err = base64.StdEncoding.DecodeString(n.B64); err != nil {
+				e.Err = errResult
+				l.log.WithField("rid", n.Rid).WithError(err).Warn("engine: unreadable result")
+			}
 		case "interrupted":
-			e.Status = Interrupted
+			e.Err = errInterrupted
 		case "nothing":
-			e.Status = Nothing
-		}
-		var err error
-		if e.Result, err = base64.StdEncoding.DecodeString(n.B64); err != nil {
-			e.Status = Failure
-			l.log.WithError(err).Warn("engine: unreadable result")
+			e.Err = errNothing
+		default:
+			e.Err = errFailed
 		}
 		l.end(n.Rid, e)
 		return
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -41,10 +41,9 @@
 type Outcome int
 
 const (
-	Failed      Outcome = iota // may have had its effect
-	Succeeded                  //
-	Interrupted                // stopped: may have had its effect
-	NotStarted                 // nothing ran
+	Failed     Outcome = iota // may have had its effect
+	Succeeded                 //
+	NotStarted                // nothing ran
 )
 
 // RPC is what a protocol has read.
@@ -59,8 +58,9 @@
 	Token            string // the same in all tries of a tokened RPC
 }
 
-// Log takes the lines that the decisions and the gate have to say.
-type Log func(text string)
+// Log takes the lines that the decisions and the gate have to say. The texts are constants; what differs from
+// line to line is in the detail, if there is one.
+type Log func(text, detail string)
 
 // Gate is one instance.
 type Gate struct {
@@ -180,12 +180,17 @@
 	defer g.mu.Unlock()
 	at := g.now()
 	now := unixMs(at)
-	door := math.Min(math.Max(r.Door, now-g.told.Methods[m].Deadline), now)
+	deadline := g.told.Methods[m].Deadline
 	t := &Ticket{
-		g: g, method: m, door: door, due: door + g.told.Methods[m].Deadline,
+		g: g, method: m, door: math.Min(r.Door, now),
 		verdicts: make(chan Verdict, 2), // a run and a final one
 	}
-	if g.decide == nil || tokened && len(g.tokens) >= g.maxTokens {
+	door := math.Max(t.door, now-deadline) // one that is older is past its deadline anyway
+	t.due = door + deadline
+	if tokened {
+		t.key = r.Method + "\x00" + r.Token
+	}
+	if g.decide == nil || tokened && g.tokens[t.key] == nil && len(g.tokens) >= g.maxTokens {
 		t.finish(Verdict{Answer: PushedBack})
 		return t, nil
 	}
@@ -195,11 +200,8 @@
 		Kind: control.Arrive, RPC: t.id, Method: m, Customer: customer, Caller: r.Caller, Subject: r.Subject,
 		Waited: now - door, Hint: r.Hint, HeldKB: r.HeldKB, Retry: r.Retry,
 	}
-	if tokened {
-		t.key = r.Method + "\x00" + r.Token
-		if k := g.tokens[t.key]; k != nil && door < k.until {
-			ev.Original, t.joins = k.id, k
-		}
+	if k := g.tokens[t.key]; k != nil && t.door < k.until {
+		ev.Original, t.joins = k.id, k
 	}
 	g.tickets[t.id] = t
 	g.handle(g.clock(at), ev)
@@ -252,7 +254,7 @@
 		return
 	}
 	t.running = false
-	outcome := [...]control.Outcome{control.Error, control.OK, control.Cancelled, control.Moot}[how]
+	outcome := [...]control.Outcome{control.Error, control.OK, control.Moot}[how]
 	if k := g.tokens[t.key]; k != nil && k.id == t.id {
 		if how == NotStarted {
 			g.forget(t.key, k)
@@ -301,7 +303,7 @@
 func (g *Gate) sweep(now float64) {
 	for _, t := range g.tickets {
 		if !t.final && now > t.due+g.told.Slack/2 {
-			g.log("gate: an RPC was overdue")
+			g.log("gate: an RPC was overdue", "")
 			g.end(t, Verdict{Answer: Aborted, Why: "overdue"})
 		}
 	}
@@ -363,7 +365,7 @@
 	defer func() {
 		g.todo = g.todo[:0]
 		if v := recover(); v != nil {
-			g.log(fmt.Sprintf("gate: panic in the decisions: %v\n%s", v, debug.Stack()))
+			g.log("gate: panic in the decisions", fmt.Sprintf("%v\n%s", v, debug.Stack()))
 			if t := g.tickets[ev.RPC]; t != nil {
 				t.finish(Verdict{Answer: Aborted, Why: "a fault of the server"})
 			}
@@ -401,7 +403,7 @@
 		}
 		return
 	case control.Note:
-		g.log(a.Text)
+		g.log(a.Text, "")
 		return
 	}
 	t := g.tickets[a.RPC]
@@ -439,7 +441,7 @@
 			g.settle(k)
 		}
 	default:
-		g.log("gate: an action that this server can't carry out")
+		g.log("gate: an action that this server can't carry out", "")
 	}
 }
 
@@ -448,7 +450,7 @@
 func (g *Gate) run(t *Ticket) {
 	k := g.tokens[t.key]
 	if k != nil && k.id != t.id && k.ran && t.door < k.until {
-		g.log("gate: a second run of a tokened RPC was stopped")
+		g.log("gate: a second run of a tokened RPC was stopped", "")
 		g.ended(t, Verdict{Answer: Aborted, Why: "another try has run"})
 		return
 	}
@@ -470,7 +472,7 @@
 		}
 		g.forget(t.key, k)
 	}
-	until := math.Max(unixMs(g.now())+life, t.door+g.told.Methods[t.method].Window+1) // door has whole ms
+	until := math.Max(unixMs(g.now())+life, t.door+g.told.Methods[t.method].Window+1) // a door has whole ms
 	g.tokens[t.key] = &token{id: t.id, until: until, drop: until + g.told.Methods[t.method].Deadline}
 }
 
