Drain: the listening socket closes right after a look that found no connection waiting

Found by reading: ln.Close resets connections that the machine has accepted and we have not, with what was written to them. Server.Finish now ends the accept loop by a deadline of 5 ms, and each connection that comes meanwhile is told closing.

--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"net"
 	"os"
@@ -54,7 +55,7 @@
 	}
 	ln, err := net.Listen("tcp", p.Listen)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
@@ -66,7 +67,7 @@
 		}
 	})
 	link := engine.New(p.Engine, log, g.Start)
-	srv := server.New(g, runner(link), p.Sockets, log)
+	srv := server.New(ln.(*net.TCPListener), g, runner(link), p.Sockets, log)
 	report := members.Reporter{
 		Addr: p.Members, Name: p.Name, Log: log, Changed: g.Changed(),
 		Up: func() (up, known bool) { return g.Good(), g.Started() },
@@ -74,26 +75,20 @@
 	go link.Serve(ctx)
 	go report.Serve(ctx)
 	go tick(ctx, g, link)
-	accepting := make(chan error, 1)
-	go func() { accepting <- srv.Serve(ln) }()
+	go srv.Serve()
 	log.WithField("listen", p.Listen).Info("serve: begins")
-	select {
-	case err := <-accepting:
-		return errors.Join(errors.New("the listening socket failed"), err)
-	case <-stop:
-	}
-	drain(p, g, srv, ln, log)
+	<-stop
+	drain(p, g, srv, log)
 	return nil
 }
 
 // drain goes on as before for the grace, then lets nothing more in and waits for what is in hand.
-func drain(p *opening.Process, g *gate.Gate, srv *server.Server, ln net.Listener, log *logrus.Entry) {
+func drain(p *opening.Process, g *gate.Gate, srv *server.Server, log *logrus.Entry) {
 	began := time.Now()
 	g.Drain(p.Stop)
 	log.WithField("ms", p.Stop.Milliseconds()).Info("drain: begins")
 	grace := time.Duration(p.Opening.Rules.DrainGrace * float64(time.Millisecond))
 	time.Sleep(max(0, min(grace, p.Stop-4*spare)))
-	ln.Close()
 	ctx, end := context.WithDeadline(context.Background(), began.Add(p.Stop-spare))
 	defer end()
 	srv.Finish(ctx)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,10 @@
 	run  Runner
 	log  *logrus.Entry
 
-	slots chan struct{} // one for each connection that may be open
-	over  atomic.Bool   // no more RPCs are wanted: every connection is told so
+	ln     *net.TCPListener
+	slots  chan struct{} // one for each connection that may be open
+	over   atomic.Bool   // no more RPCs are wanted: every connection is told so
+	closed chan struct{} // once nothing is accepted any more
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -47,12 +50,16 @@
 	// lingers is how long a connection stays open after its closing notice and its last answer, for its
 	// router to close it; far above the 50 ms in which an RPC may cross the notice.
 	lingers = 1500 * time.Millisecond
+	// lastAccept is how long connections are still accepted once no more are wanted. The listening socket is
+	// closed right after a look that found none: the machine may have accepted one that we have not yet, and
+	// what is written to that would be lost.
+	lastAccept = 5 * time.Millisecond
 )
 
-// New returns a server that may hold so many descriptors.
-func New(g *gate.Gate, run Runner, sockets int, log *logrus.Entry) *Server {
+// New returns a server on ln that may hold so many descriptors.
+func New(ln *net.TCPListener, g *gate.Gate, run Runner, sockets int, log *logrus.Entry) *Server {
 	return &Server{
-		gate: g, run: run, log: log,
+		gate: g, run: run, log: log, ln: ln, closed: make(chan struct{}),
 		slots: make(chan struct{}, max(8, sockets-reserved)), conns: map[*conn]struct{}{},
 	}
 }
@@ -75,11 +82,11 @@
 	return names
 }
 
-// Serve accepts connections from ln until it is closed.
-func (s *Server) Serve(ln net.Listener) error {
-	stop := make(chan struct{})
-	defer close(stop)
-	go s.sweep(stop)
+// Serve accepts connections until Finish.
+func (s *Server) Serve() {
+	defer close(s.closed)
+	defer s.ln.Close()
+	go s.sweep()
 	for {
 		select {
 		case s.slots <- struct{}{}:
@@ -88,11 +95,11 @@
 			s.makeRoom()
 			s.slots <- struct{}{}
 		}
-		nc, err := ln.Accept()
+		nc, err := s.ln.Accept()
 		if err != nil {
 			<-s.slots
-			if errors.Is(err, net.ErrClosed) {
-				return nil
+			if errors.Is(err, os.ErrDeadlineExceeded) && s.over.Load() {
+				return
 			}
 			s.log.WithError(err).Warn("server: accept failed")
 			time.Sleep(acceptPause)
@@ -115,12 +122,12 @@
 }
 
 // sweep closes connections that have carried nothing for as long as the gate says.
-func (s *Server) sweep(stop chan struct{}) {
+func (s *Server) sweep() {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
 	for {
 		select {
-		case <-stop:
+		case <-s.closed:
 			return
 		case <-t.C:
 		}
@@ -155,13 +162,18 @@
 	return all
 }
 
-// Finish asks for no more RPCs on any connection, waits until all that was read has been answered and the
-// connections are closed, or ctx ends, and closes what is left.
+// Finish stops accepting, asks for no more RPCs on any connection, waits until all that was read has been
+// answered and the connections are closed, or ctx ends, and closes what is left.
 func (s *Server) Finish(ctx context.Context) {
 	s.over.Store(true)
+	s.ln.SetDeadline(time.Now().Add(lastAccept))
 	for _, c := range s.all() {
 		c.closing()
 	}
+	select {
+	case <-s.closed:
+	case <-ctx.Done():
+	}
 	done := make(chan struct{})
 	go func() { s.wg.Wait(); close(done) }()
 	select {
@@ -173,10 +185,3 @@
 		c.nc.Close()
 	}
 }
-
-// Conns is the number of open connections.
-func (s *Server) Conns() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
-}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -27,10 +26,8 @@
 	s    *Server
 	g    *gate.Gate
 	addr string
-	ln   net.Listener
 	conn net.Conn
 	buf  []byte
-	mu   sync.Mutex
 	runs chan running
 }
 
@@ -52,22 +49,20 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r := &rig{T: t, ln: ln, addr: ln.Addr().String(), runs: make(chan running, 1000)}
+	r := &rig{T: t, addr: ln.Addr().String(), runs: make(chan running, 1000)}
 	r.g = gate.New(o, 64, func(string, string) {})
 	r.g.Start(false, 0)
-	r.s = New(r.g, func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
+	r.s = New(ln.(*net.TCPListener), r.g, func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
 		if string(body) == "panic" {
 			panic("the runner")
 		}
 		r.runs <- running{id, method, string(body), done}
 	}, sockets, log.WithField("node", "n0"))
-	over := make(chan struct{})
-	go func() { r.s.Serve(ln); close(over) }()
+	go r.s.Serve()
 	t.Cleanup(func() {
-		ln.Close()
-		<-over
-		ctx, end := context.WithCancel(context.Background())
-		end()
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		r.conn.Close()
 		r.s.Finish(ctx)
 	})
 	r.conn = r.dial()
@@ -318,10 +313,16 @@
 			over := make(chan struct{})
 			go func() { r.s.Finish(ctx); close(over) }()
 			r.expect("closing")
+			r.says(rpc(2, "view", "b")) // it crosses the notice
 			run.done(gate.Succeeded, 1, []byte("r"))
 			r.expect("1 ok r")
+			r.end("b")
+			r.expect("2 ok r-b")
 			r.conn.Close()
 			<-over
+			if _, err := net.Dial("tcp", r.addr); err == nil {
+				r.Error("still listening")
+			}
 		}},
 	}
 	for _, c := range cases {
