--- a/cmd/sorrelvalve/log.go
+++ b/cmd/sorrelvalve/log.go
@@ -1,5 +1,7 @@
 package main
 
+// This file owns the form of the log and its limit in a flood. It must never hold up who logs.
+
 import (
 	"io"
 	"sync"
@@ -51,8 +53,10 @@
 	l := logrus.New()
 	l.SetOutput(out)
 	l.SetFormatter(&limited{
-		Formatter: &logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"},
-		kinds:     map[string]*kind{},
+		Formatter: &logrus.TextFormatter{
+			DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
+		},
+		kinds: map[string]*kind{},
 	})
 	return l
 }
--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -1,5 +1,8 @@
 package main
 
+// This file owns the life of the serving process: it starts the parts, hands each the others it needs, and
+// drains them. It must never know what a part does inside.
+
 import (
 	"context"
 	"errors"
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -160,7 +160,7 @@
 		switch {
 		case code < 200 || code == 204 || code == 304:
 		case chunked || length < 0:
-			keep = false // its end is not worth finding: a new connection is cheap
+			keep = false // finding its end costs more than a new connection
 		default:
 			if _, err = io.CopyN(io.Discard, in, int64(length)); err != nil {
 				return 0, false, err
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -1,5 +1,8 @@
 package server
 
+// This file owns one connection: its reader, the goroutines beside it and its writes. It must never let one RPC
+// wait for another, nor end a connection while something that came whole is unanswered.
+
 import (
 	"bufio"
 	"context"
@@ -19,7 +22,7 @@
 	maxOpen   = 32                     // RPCs on one connection, as the protocol says
 	flushTime = 200 * time.Millisecond // for a peer to take its last answers after a broken frame
 	flushMost = 1 << 20                // and what it may send meanwhile
-	writeTime = 10 * time.Second       // for one answer: longer than any deadline, so only a dead caller meets it
+	writeTime = 15 * time.Second       // for one answer: past the deadlines told so far, so only a dead caller meets it
 )
 
 // conn is one connection of a router.
@@ -95,7 +98,7 @@
 		}
 	}()
 	in := bufio.NewReaderSize(c.nc, maxFrame)
-	need := 1 // bytes that must be there before it is worth looking again
+	need := 1 // bytes that must be there before another look can find more
 	for {
 		if _, err := in.Peek(need); err == io.EOF && in.Buffered() > 0 {
 			return errors.New("the connection ended within a message")
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -1,5 +1,8 @@
 package server
 
+// This file owns the messages of the routers' protocol: it takes them apart in place and makes the answers. It must
+// never touch a socket, nor take a length or a number on trust.
+
 import (
 	"bytes"
 	"errors"
