An engine that stalls holds up no clock; a caller found gone by an answer has nothing more run

Found by reading: Link.send wrote under its lock, so an engine that reads nothing would have held up STAT and with it every tick; lines now go through a bounded queue, and a link whose queue is full is ended. After a failed write the other RPCs of that connection were still run for nobody; they are taken as left.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -56,7 +56,8 @@
 	maxRuns  = 8192                    // far above what any site's cores survive; 2 KiB each as base64
 	maxLine  = 64 << 10                // a result of 4 KiB takes 6 KB as base64; anything near this is no notice
 	dialTime = time.Second             // the engine is on the same machine
-	sendTime = 2 * time.Second         // for one line; an engine that reads none for so long is gone
+	sendTime = 2 * time.Second         // for one write; an engine that reads nothing for so long is gone
+	maxQueue = maxRuns + 256           // lines not written yet: all that runs, after a break, and some ticks' STATs
 	minWait  = 5 * time.Millisecond    // before the first new link: RPCs wait for it
 	maxWait  = 500 * time.Millisecond  // and at most, while there is no engine
 	longPast = 1000 * time.Millisecond // a link that has lived so long was a good one: begin with minWait again
@@ -69,8 +70,9 @@
 	begun func(cold bool, ago time.Duration)
 
 	mu     sync.Mutex
-	conn   net.Conn
-	synced bool // all missed notices of this link have been read: runs may be sent
+	conn   net.Conn    // nil without a link
+	out    chan []byte // lines to be written on it
+	synced bool        // all missed notices of this link have been read: runs may be sent
 	last   uint64
 	runs   map[string]*run
 	gauges []float64
@@ -170,18 +172,32 @@
 	return mark, heard
 }
 
-// send writes one line. An error ends the link; the next one starts over.
+// send queues one line, as an engine that stalls must hold up neither the clock nor an RPC. A link on which the
+// queue is full is ended: the next one sends again what runs.
 func (l *Link) send(b []byte) {
 	if l.conn == nil {
 		return
 	}
-	l.conn.SetWriteDeadline(time.Now().Add(sendTime))
-	if _, err := l.conn.Write(b); err != nil {
-		l.synced = false
+	select {
+	case l.out <- b:
+	default:
 		l.conn.Close()
 	}
 }
 
+// write writes what is queued until the queue ends. An error ends the link; the next one starts over.
+func write(conn net.Conn, out <-chan []byte) {
+	var err error
+	for b := range out {
+		if err == nil {
+			conn.SetWriteDeadline(time.Now().Add(sendTime))
+			if _, err = conn.Write(b); err != nil {
+				conn.Close()
+			}
+		}
+	}
+}
+
 // Serve keeps the link until ctx ends.
 func (l *Link) Serve(ctx context.Context) {
 	wait := minWait
@@ -218,6 +234,7 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	defer func() {
 		l.mu.Lock()
+		close(l.out)
 		l.conn, l.synced = nil, false
 		for mark := range l.marks {
 			l.heard(mark)
@@ -226,7 +243,8 @@
 		conn.Close()
 	}()
 	l.mu.Lock()
-	l.conn = conn
+	l.conn, l.out = conn, make(chan []byte, maxQueue)
+	go write(conn, l.out)
 	last := l.last
 	l.send(line(command{T: "ATTACH", No: &last}))
 	l.mu.Unlock()
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -196,6 +196,20 @@
 			s.run("b", "x")
 			s.ended("b error 0")
 		}},
+		{"an engine that reads nothing holds up neither runs nor the clock", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			body := strings.Repeat("x", 2<<10)
+			for i := range maxRuns - 1 { // some 20 MB, more than the sockets' buffers hold
+				s.run(fmt.Sprint(i), body)
+			}
+			if v := s.link.Gauges(time.Millisecond); len(v) != 4 {
+				s.Errorf("gauges %v", v)
+			}
+			for i := range maxRuns - 1 {
+				s.reads(s.runs(fmt.Sprint(i), body))
+			}
+		}},
 		{"gauges, and none in time", func(s *stand) {
 			s.accept(0)
 			if v := s.link.Gauges(soon); v != nil {
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// write sends one message in parts. An error ends the connection, which its reader notices.
+// write sends one message in parts. An error ends the connection: nobody is left to answer.
 func (c *conn) write(parts ...[]byte) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -216,6 +216,7 @@
 	b := net.Buffers(parts)
 	if _, err := b.WriteTo(c.nc); err != nil {
 		c.nc.Close()
+		c.leave()
 	}
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -275,6 +276,37 @@
 			r.expect("1 ok r-b")
 			run.done(gate.Succeeded, 1, nil)
 		}},
+		{"a caller found gone by an answer: what it still waits for is not run", func(r *rig) {
+			many := func(body string) (s string) {
+				for id := uint64(1); id <= 60; id++ {
+					s += rpc(id, "view", body)
+				}
+				return s
+			}
+			r.says(many("a"))
+			for range 60 {
+				<-r.runs
+			}
+			gone := r.dial()
+			io.WriteString(gone, many("b")) // four of them run beside the others
+			for r.g.InHand() < 120 {
+				runtime.Gosched()
+			}
+			gone.Close() // looks half-closed until something is written
+			ran := 0
+			for end := time.Now().Add(soon); r.g.InHand() > 60 && time.Now().Before(end); {
+				select {
+				case run := <-r.runs:
+					run.done(gate.Succeeded, 1, nil)
+					ran++
+				default:
+					runtime.Gosched()
+				}
+			}
+			if ran > 30 || r.g.InHand() != 60 {
+				r.Errorf("%d ran, %d in hand", ran, r.g.InHand())
+			}
+		}},
 		{"a panic on an RPC", func(r *rig) {
 			r.says(rpc(1, "view", "panic"))
 			r.expect("1 Internal")
@@ -299,6 +331,9 @@
 			r.says(health)
 			r.expect("99 health true")
 			for _, c := range r.s.all() {
+				for idle, _ := c.idle(); !idle; idle, _ = c.idle() {
+					runtime.Gosched() // what answered the check has not ended yet
+				}
 				c.mu.Lock()
 				c.last = c.last.Add(-time.Hour)
 				c.mu.Unlock()
