Not known after a break is no proof that nothing ran; nothing is taken on a connection closed from here

Found by reading: a NO to a RUN that an earlier link had carried counted as never run, and forgot the token with it. An RPC read in the moment in which its idle connection is closed would have run here and been sent again to another.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"math"
 	"math/rand"
 	"net"
 	"slices"
@@ -60,6 +61,7 @@
 	maxQueue = maxRuns + 256           // lines not written yet: all that runs, after a break, and some ticks' STATs
 	minWait  = 5 * time.Millisecond    // before the first new link: RPCs wait for it
 	maxWait  = 500 * time.Millisecond  // and at most, while there is no engine
+	maxAgo   = 1e12                    // ms: thirty years
 	longPast = 1000 * time.Millisecond // a link that has lived so long was a good one: begin with minWait again
 )
 
@@ -82,8 +84,10 @@
 
 // run is one run that has not ended.
 type run struct {
-	line []byte
-	done []func(End)
+	line  []byte
+	done  []func(End)
+	sent  bool // on some link
+	again bool // on more than one: that it is not known now does not prove that it never ran
 }
 
 // New returns a link to the engine at addr. begun is called each time that a link hears when the engine started.
@@ -138,6 +142,7 @@
 	r := &run{line: line(command{T: "RUN", Rid: id, Route: method, B64: &text}), done: []func(End){done}}
 	l.runs[id] = r
 	if l.synced {
+		r.sent = true
 		l.send(r.line)
 	}
 }
@@ -278,7 +283,8 @@
 		l.stat() // its answer comes behind the notices that were missed
 		l.mu.Unlock()
 		l.log.WithFields(logrus.Fields{"status": n.Status, "ms": n.TimeMs}).Info("engine: attached")
-		l.begun(n.Status == "booting", time.Duration(n.TimeMs*float64(time.Millisecond)))
+		ago := math.Min(math.Max(n.TimeMs, 0), maxAgo)
+		l.begun(n.Status == "booting", time.Duration(ago*float64(time.Millisecond)))
 		return
 	case "STATS":
 		l.gauges = n.V
@@ -291,7 +297,11 @@
 			return
 		}
 		l.log.WithFields(logrus.Fields{"command": n.Status, "rid": n.Rid}).Warn("engine: run not carried out")
-		l.end(n.Rid, End{Err: errUnknown})
+		e := End{Err: errUnknown}
+		if r := l.runs[n.Rid]; r != nil && r.again {
+			e.Err = errInterrupted
+		}
+		l.end(n.Rid, e)
 		return
 	case "DONE":
 		e := End{Spent: n.TimeMs}
@@ -331,7 +341,9 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		l.send(l.runs[id].line)
+		r := l.runs[id]
+		r.again, r.sent = r.sent, true
+		l.send(r.line)
 	}
 }
 
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -35,6 +35,7 @@
 	open    map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered
 	last    time.Time               // when something was read or answered
 	told    time.Time               // when the closing notice went out
+	shut    bool                    // closed from here: nothing more is taken, as its router may send it again
 	writing sync.Mutex
 }
 
@@ -126,10 +127,16 @@
 func (c *conn) take(m message) error {
 	c.mu.Lock()
 	c.last = time.Now()
+	shut := c.shut
 	_, taken := c.open[m.id]
+	if m.kind == typeCall && !taken && !shut {
+		c.open[m.id] = nil // from here on the connection is not idle
+	}
 	n := len(c.open)
 	c.mu.Unlock()
 	switch {
+	case shut:
+		return &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 	case m.kind == typeNotice:
 		if string(m.method) == "cancel" {
 			for _, id := range parseCancel(m.params) {
@@ -144,7 +151,7 @@
 		return nil
 	case taken:
 		return errRepeated
-	case n >= 2*maxOpen: // answers may still be on their way to a router that counts fewer
+	case n > 2*maxOpen: // answers may still be on their way to a router that counts fewer
 		return errors.New("too many RPCs open")
 	case string(m.method) == "health":
 		c.beside(m.id, nil, func() { c.write(healthAnswer(m.id, c.s.gate.Good())) })
@@ -244,14 +251,14 @@
 // it, and if that does not come it is closed from here.
 func (c *conn) retire(idle time.Duration) {
 	c.mu.Lock()
-	quiet := time.Since(c.last)
-	open, told := len(c.open), c.told
+	quiet, told := time.Since(c.last), c.told
+	c.shut = c.shut || len(c.open) == 0 && !told.IsZero() && quiet > lingers && time.Since(told) > lingers
+	ask, shut := len(c.open) == 0 && told.IsZero() && quiet > idle, c.shut
 	c.mu.Unlock()
-	switch {
-	case open > 0:
-	case told.IsZero() && quiet > idle:
+	if ask {
 		c.closing()
-	case !told.IsZero() && quiet > lingers && time.Since(told) > lingers:
+	}
+	if shut {
 		c.nc.Close()
 	}
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -292,13 +292,27 @@
 			for r.g.InHand() < 120 {
 				runtime.Gosched()
 			}
+			open := func() (n int) {
+				for _, c := range r.s.all() {
+					c.mu.Lock()
+					if c.nc.RemoteAddr().String() == gone.LocalAddr().String() {
+						n = len(c.open)
+					}
+					c.mu.Unlock()
+				}
+				return n
+			}
 			gone.Close() // looks half-closed until something is written
 			ran := 0
 			for end := time.Now().Add(soon); r.g.InHand() > 60 && time.Now().Before(end); {
 				select {
 				case run := <-r.runs:
+					left := open()
 					run.done(gate.Succeeded, 1, nil)
 					ran++
+					for open() >= left && left > 0 {
+						runtime.Gosched() // its answer has not been tried yet
+					}
 				default:
 					runtime.Gosched()
 				}
@@ -340,6 +354,19 @@
 			}
 			r.expect("closing", "")
 		}},
+		{"what crosses a close from here is not run, as it is sent again", func(r *rig) {
+			r.says(health)
+			r.expect("99 health true")
+			c := r.s.all()[0]
+			c.mu.Lock()
+			c.shut = true
+			c.mu.Unlock()
+			r.says(rpc(1, "view", "a"))
+			r.expect("")
+			if n := r.g.InHand(); n != 0 {
+				r.Errorf("%d in hand", n)
+			}
+		}},
 		{"at the end what is in hand is answered, then all is closed", func(r *rig) {
 			r.says(rpc(1, "view", "a"))
 			run := <-r.runs
