Drain at the connection limit: what waits for its place is still accepted before the socket closes

Found while writing the test for the last look before the close: at the limit, Accept came after its deadline and passed over connections that the machine had accepted; they were reset with what was written to them. Each accept in a drain now has a deadline of its own (Server.Serve); the test fails without it.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -95,6 +95,9 @@
 			s.makeRoom()
 			s.slots <- struct{}{}
 		}
+		if s.over.Load() { // one may have waited for its slot: a deadline that is past would pass it over
+			s.ln.SetDeadline(time.Now().Add(lastAccept))
+		}
 		nc, err := s.ln.Accept()
 		if err != nil {
 			<-s.slots
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -440,6 +440,35 @@
 	r.expect("1 ok r")
 }
 
+// At the end what the machine has accepted is served, too, be it still waiting for its turn at the limit.
+func TestFinishAtLimit(t *testing.T) {
+	r := start(t, 0)
+	var conns []net.Conn
+	for range 20 {
+		r.conn = r.dial()
+		r.says(rpc(1, "view", "a"))
+		conns = append(conns, r.conn)
+	}
+	ctx, end := context.WithTimeout(context.Background(), soon)
+	defer end()
+	go r.s.Finish(ctx)
+	go func() {
+		time.Sleep(4 * lastAccept) // the first deadline must be past while eight connections take all places
+		for range conns {
+			run := <-r.runs
+			run.done(gate.Succeeded, 1, nil)
+		}
+	}()
+	for _, r.conn = range conns {
+		for got := ""; got != "1 ok "; {
+			if got = r.next(); got != "closing" && got != "1 ok " {
+				t.Fatalf("read %q", got)
+			}
+		}
+		r.conn.Close()
+	}
+}
+
 func TestAbsent(t *testing.T) {
 	o := &opening.Opening{}
 	if names := Absent(o); names != nil {
