SIGHUP reloads the configuration: the engine link and the reports move at once

Nothing in cmd/sorrelvalve listened for it, and the addresses of the engine and the membership service were fixed at start (serve.go, Link.addr, Reporter.Addr). Also seen in the code: a report without an answer held its loop for up to two seconds (members.go, put under one deadline and then once more), so OUT at a drain could come that late.

Now the file is read by the same code as at start; a wrong one is logged and the old one stays; keys that need a new start are named. Link.Move ends the link, a dial and a pause for the old address and dials without delay; runs and notice numbers go on. Each report is an exchange beside the reporter's loop; one that was sent and got no answer is not repeated before its time.

Tests: TestReload (also in a drain), a move in TestLink, TestUnanswered, TestStays.

--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,20 +44,26 @@
 type serveCmd struct{}
 
 func (serveCmd) Run() error {
-	p, err := opening.Load(os.Getenv)
+	stop, reread := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(reread, syscall.SIGHUP) // before all else: unheeded, it would end the process
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	load := func() (*opening.Process, error) { return opening.Load(os.Getenv) }
+	p, err := load()
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	return serve(p, newLog(os.Stderr).WithField("node", p.Name), stop)
+	return serve(p, newLog(os.Stderr).WithField("node", p.Name), stop, reread, load)
 }
 
-// serve runs one server until a signal comes, and drains it.
-func serve(p *opening.Process, log *logrus.Entry, stop <-chan os.Signal) error {
+// serve runs one server until a signal to stop comes, and drains it. On each value of reread, the drain
+// included, it takes from load what can change in a running process.
+func serve(
+	p *opening.Process, log *logrus.Entry, stop, reread <-chan os.Signal, load func() (*opening.Process, error),
+) error {
 	runtime.GOMAXPROCS(int(math.Ceil(p.Cores)))
 	debug.SetMemoryLimit(int64(heapShare * float64(p.MemoryMB) * (1 << 20)))
-	if absent := server.Absent(p.Opening); len(absent) > 0 {
+	told := *p.Opening
+	if absent := server.Absent(&told); len(absent) > 0 {
 		log.WithField("absent", strings.Join(absent, ", ")).Warn("server: not carried by this protocol")
 	}
 	ln, err := net.Listen("tcp", p.Listen)
@@ -65,7 +72,7 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	g := gate.New(p.Opening, p.MemoryMB, func(text, detail string) {
+	g := gate.New(&told, p.MemoryMB, func(text, detail string) {
 		if detail == "" {
 			log.Info(text)
 		} else {
@@ -74,20 +81,50 @@
 	})
 	link := engine.New(p.Engine, log, g.Start)
 	srv := server.New(ln.(*net.TCPListener), g, runner(link), p.Sockets, log)
-	report := members.Reporter{
-		Addr: p.Members, Name: p.Name, Log: log, Changed: g.Changed(),
-		Up: func() (up, known bool) { return g.Good(), g.Started() },
-	}
+	up := func() (up, known bool) { return g.Good(), g.Started() }
+	report := members.New(p.Members, p.Name, log, up, g.Changed())
 	go link.Serve(ctx)
 	go report.Serve(ctx)
 	go tick(ctx, g, link)
 	go srv.Serve()
+	var latest atomic.Pointer[opening.Process]
+	latest.Store(p)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-reread:
+			}
+			next, err := load()
+			if err != nil {
+				log.WithError(err).Error("reload: the configuration is wrong, the old one stays")
+				continue
+			}
+			if stays := p.Stays(next); len(stays) > 0 {
+				log.WithField("keys", brief(stays)).Warn("reload: keys that only a new start can change")
+			}
+			latest.Store(next)
+			link.Move(next.Engine)
+			report.Move(ctx, next.Members)
+			log.WithFields(logrus.Fields{"engine": next.Engine, "members": next.Members}).Info("reload: done")
+		}
+	}()
 	log.WithField("listen", p.Listen).Info("serve: begins")
 	<-stop
-	drain(p, g, srv, log)
+	drain(latest.Load(), g, srv, log)
 	return nil
 }
 
+// brief names the first few of many keys.
+func brief(keys []string) string {
+	const most = 8 // as many as fit a line
+	if len(keys) > most {
+		return fmt.Sprintf("%s and %d more", strings.Join(keys[:most], ", "), len(keys)-most)
+	}
+	return strings.Join(keys, ", ")
+}
+
 // drain goes on as before for the grace, then lets nothing more in and waits for what is in hand.
 func drain(p *opening.Process, g *gate.Gate, srv *server.Server, log *logrus.Entry) {
 	began := time.Now()
--- a/cmd/sorrelvalve/serve_test.go
+++ b/cmd/sorrelvalve/serve_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -70,64 +72,99 @@
 // whole is a server with its stand-ins, and one connection to it.
 type whole struct {
 	*testing.T
-	wait    chan struct{} // closed: runs that wait go on
-	reports net.Conn
-	reading *bufio.Reader
-	conn    net.Conn
-	stop    chan os.Signal
-	over    chan error
-	lines   bytes.Buffer
+	wait   chan struct{} // closed: runs that wait go on
+	file   string
+	engine net.Listener
+	reread chan os.Signal
+	phases chan string // as they were reported
+	last   string
+	conn   net.Conn
+	stop   chan os.Signal
+	over   chan error
+	lines  bytes.Buffer
+}
+
+func listen(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
 }
 
 func start(t *testing.T, stopMs int) *whole {
-	listen := func() net.Listener {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { ln.Close() })
-		return ln
+	w := &whole{
+		T: t, wait: make(chan struct{}), stop: make(chan os.Signal, 2), reread: make(chan os.Signal), over: make(chan error, 1),
+		file: filepath.Join(t.TempDir(), "config.json"), engine: listen(t), phases: make(chan string, 100),
 	}
-	w := &whole{T: t, wait: make(chan struct{}), stop: make(chan os.Signal, 2), over: make(chan error, 1)}
-	engineAt, membersAt, own := listen(), listen(), listen()
+	own := listen(t)
 	addr := own.Addr().String()
 	own.Close()
-	go standIn(engineAt, w.wait)
-	file := filepath.Join(t.TempDir(), "config.json")
+	go standIn(w.engine, w.wait)
 	text := fmt.Sprintf(`{"name":"n0","listen":"%s","engine":"%s","members":"%s","seed":"1","stop_ms":%d,"settings":{
 		"classes":[{"name":"view","aim":1000000000,"give_up":5000000000}],"rules":{"drain_grace":300000000,"tip_multiple":8},
 		"family_info":{"cores":2,"ram_kb":100000,"below":"shared","call_share":2}}}`,
-		addr, engineAt.Addr(), membersAt.Addr(), stopMs)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		addr, w.engine.Addr(), w.service("first "), stopMs)
+	if err := os.WriteFile(w.file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p, err := opening.Load(func(key string) string { return map[string]string{"EDGE_CONFIG": file}[key] })
-	if err != nil {
-		t.Fatal(err)
+	load := func() (*opening.Process, error) {
+		return opening.Load(func(key string) string { return map[string]string{"EDGE_CONFIG": w.file}[key] })
 	}
-	go func() { w.over <- serve(p, newLog(&w.lines).WithField("node", p.Name), w.stop) }()
-	// The first report tells that it is up and started.
-	if w.reports, err = membersAt.Accept(); err != nil {
+	p, err := load()
+	if err != nil {
 		t.Fatal(err)
 	}
-	w.reading = bufio.NewReader(w.reports)
-	w.reported(`{"phase":"UP"}`)
+	go func() { w.over <- serve(p, newLog(&w.lines).WithField("node", p.Name), w.stop, w.reread, load) }()
+	w.reported("first UP") // which tells that it is up and started
 	if w.conn, err = net.Dial("tcp", addr); err != nil {
 		t.Fatal(err)
 	}
 	w.conn.SetDeadline(time.Now().Add(soon))
-	t.Cleanup(func() { w.conn.Close(); w.reports.Close() })
+	t.Cleanup(func() { w.conn.Close() })
 	return w
 }
 
+// service is a membership service, which names itself with each phase that it hears; its address is returned.
+func (w *whole) service(name string) string {
+	s := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, q *http.Request) {
+		var report struct{ Phase string }
+		if json.NewDecoder(q.Body).Decode(&report) == nil && q.URL.Path == "/members/n0" {
+			w.phases <- name + report.Phase
+		}
+		out.WriteHeader(http.StatusNoContent)
+	}))
+	w.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// reload puts new text into the file in place of old, and has it read.
+func (w *whole) reload(old, new string) {
+	w.Helper()
+	b, err := os.ReadFile(w.file)
+	if err == nil {
+		err = os.WriteFile(w.file, bytes.Replace(b, []byte(old), []byte(new), 1), 0o600)
+	}
+	if err != nil {
+		w.Fatal(err)
+	}
+	w.reread <- syscall.SIGHUP
+}
+
+// reported waits for the first report that differs from those before.
 func (w *whole) reported(want string) {
 	w.Helper()
-	w.reports.SetDeadline(time.Now().Add(soon))
-	got, err := w.reading.ReadString('}')
-	if err != nil || !strings.HasSuffix(got, want) {
-		w.Fatalf("report %q, error %v", got, err)
+	for got := ""; got != want; w.last = got {
+		select {
+		case got = <-w.phases:
+			if got != want && got != w.last {
+				w.Fatalf("report %q, want %q", got, want)
+			}
+		case <-time.After(soon):
+			w.Fatalf("no report, want %q", want)
+		}
 	}
-	io.WriteString(w.reports, "HTTP/1.1 204 No Content\r\n\r\n")
 }
 
 func (w *whole) answered(want string) {
@@ -162,7 +199,7 @@
 	w.answered("\x94\x01\x01\xc0\x92\xc4\x01a\x80")
 	w.conn.Write(call(2, "view", "wait"))
 	w.stop <- syscall.SIGTERM
-	w.reported(`{"phase":"OUT"}`)
+	w.reported("first OUT")
 	w.stop <- syscall.SIGTERM // changes nothing
 	close(w.wait)
 	w.answered("\x94\x01\x02\xc0\x92\xc4\x04wait\x80")
@@ -179,7 +216,7 @@
 	w.conn.Write(call(1, "view", "wait"))
 	w.conn.Write(call(2, "view", "wait"))
 	w.stop <- syscall.SIGTERM
-	w.reported(`{"phase":"OUT"}`)
+	w.reported("first OUT")
 	w.answered("\x93\x02\xa7closing\x90")
 	got, err := io.ReadAll(w.conn)
 	if err != nil || bytes.Count(got, []byte("Aborted")) != 2 {
@@ -188,6 +225,40 @@
 	w.ended()
 }
 
+// New addresses are used at once and what is in hand goes on; a wrong file changes nothing, and what can't change
+// is named; all of it in a drain as well.
+func TestReload(t *testing.T) {
+	w := start(t, 5000)
+	defer close(w.wait)
+	w.conn.Write(call(1, "view", "wait"))
+	w.reload(`"seed":"1"`, `"seed":"x"`)
+	w.reload(`"seed":"x"`, `"seed":"2"`)
+	b, _ := os.ReadFile(w.file)
+	_, old, _ := strings.Cut(string(b), `"members":"`)
+	w.reload(old[:strings.Index(old, `"`)], w.service("second "))
+	w.reported("second UP")
+	w.stop <- syscall.SIGTERM
+	w.reported("second OUT")
+	next, on := listen(t), make(chan struct{})
+	close(on)
+	go standIn(next, on) // which ends the run that the first one holds
+	w.reload(w.engine.Addr().String(), next.Addr().String())
+	for got := []byte(nil); !bytes.Contains(got, []byte("\x94\x01\x01\xc0\x92\xc4\x04wait\x80")); {
+		b := make([]byte, 100)
+		n, err := w.conn.Read(b)
+		if got = append(got, b[:n]...); err != nil {
+			t.Fatalf("read %q, error %v", got, err)
+		}
+	}
+	w.conn.Close()
+	w.ended()
+	for _, want := range []string{"seed: up to 16 hex digits", "keys=seed", `msg="reload: done"`} {
+		if !strings.Contains(w.lines.String(), want) {
+			t.Errorf("no %q in the log: %s", want, w.lines.String())
+		}
+	}
+}
+
 // A flood of one line is cut, and the next one that is written counts what was dropped.
 func TestLogFlood(t *testing.T) {
 	var out bytes.Buffer
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,7 +1,7 @@
 // Package engine keeps the link to the engine, which does the work: it attaches, starts runs, asks for the
 // gauges and takes each notice once and in order, over as many links as it needs. What runs is known here
 // until its end has been read, so a new link finds all of it again. It must never start a run twice by itself:
-// after a break it first reads the notices that it has missed.
+// after a break, or a move to another address of the same engine, it first reads the notices that it has missed.
 package engine
 
 import (
@@ -67,14 +67,15 @@
 
 // Link is the link to one engine.
 type Link struct {
-	addr  string
 	log   *logrus.Entry
 	begun func(cold bool, ago time.Duration)
 
 	mu     sync.Mutex
-	conn   net.Conn    // nil without a link
-	out    chan []byte // lines to be written on it
-	synced bool        // all missed notices of this link have been read: runs may be sent
+	addr   string
+	leave  context.CancelFunc // ends what goes on with the address as it was
+	conn   net.Conn           // nil without a link
+	out    chan []byte        // lines to be written on it
+	synced bool               // all missed notices of this link have been read: runs may be sent
 	last   uint64
 	runs   map[string]*run
 	gauges []float64
@@ -93,7 +94,7 @@
 // New returns a link to the engine at addr. begun is called each time that a link hears when the engine started.
 func New(addr string, log *logrus.Entry, begun func(cold bool, ago time.Duration)) *Link {
 	return &Link{
-		addr: addr, log: log, begun: begun, runs: map[string]*run{}, marks: map[string]chan struct{}{},
+		addr: addr, log: log, begun: begun, leave: func() {}, runs: map[string]*run{}, marks: map[string]chan struct{}{},
 	}
 }
 
@@ -207,17 +208,37 @@
 func (l *Link) Serve(ctx context.Context) {
 	wait := minWait
 	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		l.mu.Lock()
+		addr := l.addr
+		l.leave = leave
+		l.mu.Unlock()
 		since := time.Now()
-		err := l.serve(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if time.Since(since) > longPast {
+		err := l.serve(here, addr)
+		switch {
+		case ctx.Err() != nil:
+		case here.Err() != nil: // moved: RPCs wait for the new link, so there is no pause before it
 			wait = minWait
+		default:
+			if time.Since(since) > longPast {
+				wait = minWait
+			}
+			l.log.WithError(err).Warn("engine: link lost")
+			pause(here, wait+time.Duration(rand.Int63n(int64(wait))))
+			wait = min(maxWait, 2*wait)
 		}
-		l.log.WithError(err).Warn("engine: link lost")
-		pause(ctx, wait+time.Duration(rand.Int63n(int64(wait))))
-		wait = min(maxWait, 2*wait)
+		leave()
+	}
+}
+
+// Move makes the link anew at another address of the same engine: what runs goes on there, and no notice is read
+// twice. The link as it was ends at once, as are a dial and a pause that were for the old address.
+func (l *Link) Move(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if addr != l.addr {
+		l.addr = addr
+		l.leave()
 	}
 }
 
@@ -230,9 +251,9 @@
 	}
 }
 
-func (l *Link) serve(ctx context.Context) error {
+func (l *Link) serve(ctx context.Context, addr string) error {
 	d := net.Dialer{Timeout: dialTime}
-	conn, err := d.DialContext(ctx, "tcp", l.addr)
+	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -135,6 +135,31 @@
 			s.reads(s.runs("a", "x"))
 			s.reads(s.runs("b", "x"))
 		}},
+		{"a move: nothing waits for the old link to end, and what runs is found at the new address", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			s.run("a", "x")
+			s.reads(s.runs("a", "x"))
+			s.says(done(1, "z", "success", "")) // and the link stays open
+			var err error
+			if s.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+				s.Fatal(err)
+			}
+			defer s.ln.Close()
+			s.link.mu.Lock()
+			for s.link.last == 0 { // until that notice has been read
+				s.link.mu.Unlock()
+				time.Sleep(time.Millisecond)
+				s.link.mu.Lock()
+			}
+			s.link.mu.Unlock()
+			s.link.Move(s.ln.Addr().String())
+			s.accept(1)
+			s.run("b", "y")
+			s.hello("2", done(2, "a", "success", "r"))
+			s.ended("a ok 1.5 r")
+			s.reads(s.runs("b", "y"))
+		}},
 		{"a break: missed notices come first, then what still runs is sent again", func(s *stand) {
 			s.accept(0)
 			s.hello("1")
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -1,6 +1,7 @@
 // Package members reports to the membership service whether this server takes work. It speaks HTTP/1.1 over
-// one connection that it keeps, with a parser of its own for the little that it reads. It must never hold up
-// anything else: a service that is slow, wrong or gone costs nothing but log lines.
+// a connection that it keeps, with a parser of its own for the little that it reads. It must never hold up
+// anything else: a service that is slow, wrong or gone costs nothing but log lines, and a report that it leaves
+// without an answer delays neither the next one nor a change.
 package members
 
 import (
@@ -11,6 +12,7 @@
 	"io"
 	"math/rand"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -20,7 +22,8 @@
 
 const (
 	every   = 800 * time.Millisecond // three reports within the 3 s after which an entry lapses
-	timeout = time.Second            // for one report: after it there is time for another
+	timeout = time.Second            // for one report: a service that answers later is of no use
+	most    = 4                      // reports on their way: two at the usual pace, and two changes between
 	minWait = 50 * time.Millisecond  // after a failed report, doubling
 	maxWait = every
 	maxHead = 8 << 10 // of an answer
@@ -29,18 +32,42 @@
 
 // Reporter reports for one server.
 type Reporter struct {
-	Addr, Name string
-	Log        *logrus.Entry
-	Up         func() (up, known bool) // what to report, if there is anything to report yet
-	Changed    <-chan struct{}         // has a value after that has changed
+	addr, name string
+	log        *logrus.Entry
+	up         func() (up, known bool) // what to report, if there is anything to report yet
+	changed    <-chan struct{}         // has a value after that has changed
+	moved      chan string
+}
+
+// New returns a reporter to the service at addr.
+func New(addr, name string, log *logrus.Entry, up func() (up, known bool), changed <-chan struct{}) *Reporter {
+	return &Reporter{addr: addr, name: name, log: log, up: up, changed: changed, moved: make(chan string)}
+}
+
+// Move has all reports from now on sent to another address of the service.
+func (r *Reporter) Move(ctx context.Context, addr string) {
+	select {
+	case r.moved <- addr:
+	case <-ctx.Done():
+	}
+}
 
-	conn net.Conn
+// exchange is one report on its way, and its connection.
+type exchange struct {
+	addr string
+	conn net.Conn // nil for a new one
 	in   *bufio.Reader
+	sent bool // whole: the service may have counted it
+	keep bool // answered in full: the connection can carry another
+	err  error
 }
 
-// Serve reports until ctx ends.
+// Serve reports until ctx ends. Each report is an exchange of its own beside this loop, so that one without an
+// answer holds up neither the next nor a change.
 func (r *Reporter) Serve(ctx context.Context) {
-	defer r.close()
+	var kept *exchange // its connection is free
+	defer func() { kept.close() }()
+	ended, out := make(chan *exchange), 0
 	wait := minWait
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -48,73 +75,105 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.Changed:
+		case addr := <-r.moved:
+			if addr == r.addr {
+				continue
+			}
+			r.addr = addr
+			kept.close()
+			kept = nil
+		case <-r.changed:
 		case <-timer.C:
+		case x := <-ended:
+			out--
+			switch {
+			case x.keep && kept == nil && x.addr == r.addr:
+				kept = x
+			default:
+				x.close()
+			}
+			if x.err == nil {
+				wait = minWait
+				continue
+			}
+			r.log.WithError(x.err).Warn("members: report failed")
+			if !x.sent && x.addr == r.addr { // one that was sent may have counted: the next comes at its time
+				timer.Reset(wait/2 + time.Duration(rand.Int63n(int64(wait)))) // half to one and a half of it
+				wait = min(maxWait, 2*wait)
+			}
+			continue
 		}
-		up, known := r.Up()
+		up, known := r.up()
 		if !known {
 			timer.Reset(minWait)
 			continue
 		}
-		if err := r.report(ctx, up); err != nil {
-			r.Log.WithError(err).Warn("members: report failed")
-			timer.Reset(wait/2 + time.Duration(rand.Int63n(int64(wait)))) // half to one and a half of it
-			wait = min(maxWait, 2*wait)
+		timer.Reset(every)
+		if out == most { // each ends within its time, and the timer comes again
 			continue
 		}
-		wait = minWait
-		timer.Reset(every)
+		x := &exchange{addr: r.addr}
+		if kept != nil {
+			x, kept = kept, nil
+		}
+		out++
+		go func() {
+			x.report(ctx, r.name, up)
+			select {
+			case ended <- x:
+			case <-ctx.Done():
+				x.close()
+			}
+		}()
 	}
 }
 
-// report sends one report. A connection that was kept may have been closed meanwhile, so that is tried once more.
-func (r *Reporter) report(ctx context.Context, up bool) error {
-	kept := r.conn != nil
-	code, err := r.put(ctx, up)
-	if err != nil && kept && ctx.Err() == nil {
-		code, err = r.put(ctx, up)
+func (x *exchange) close() {
+	if x != nil && x.conn != nil {
+		x.conn.Close()
+		x.conn = nil
 	}
-	if err == nil && (code < 200 || code > 299) {
-		err = fmt.Errorf("status %d", code)
-	}
-	return err
 }
 
-func (r *Reporter) close() {
-	if r.conn != nil {
-		r.conn.Close()
-		r.conn = nil
+// report sends one report. A connection that was kept may have been closed meanwhile, so that is tried once more.
+func (x *exchange) report(ctx context.Context, name string, up bool) {
+	kept := x.conn != nil
+	code := x.put(ctx, name, up)
+	if x.err != nil && kept && ctx.Err() == nil && !errors.Is(x.err, os.ErrDeadlineExceeded) {
+		x.close()
+		code = x.put(ctx, name, up)
+	}
+	if x.err == nil && (code < 200 || code > 299) {
+		x.err = fmt.Errorf("status %d", code)
 	}
 }
 
-// put sends one report and returns the status of its answer. After an error there is no connection.
-func (r *Reporter) put(ctx context.Context, up bool) (code int, err error) {
-	keep := false
-	defer func() {
-		if !keep {
-			r.close()
-		}
-	}()
-	if r.conn == nil {
+// put sends one report and returns the status of its answer.
+func (x *exchange) put(ctx context.Context, name string, up bool) (code int) {
+	x.sent, x.keep = false, false
+	if x.conn == nil {
 		d := net.Dialer{Timeout: timeout}
-		conn, err := d.DialContext(ctx, "tcp", r.Addr)
-		if err != nil {
-			return 0, err
+		if x.conn, x.err = d.DialContext(ctx, "tcp", x.addr); x.err != nil {
+			x.conn = nil
+			return 0
 		}
-		r.conn, r.in = conn, bufio.NewReaderSize(conn, 1<<10)
+		x.in = bufio.NewReaderSize(x.conn, 1<<10)
 	}
+	conn := x.conn
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	phase := "OUT"
 	if up {
 		phase = "UP"
 	}
 	body := `{"phase":"` + phase + `"}`
-	r.conn.SetDeadline(time.Now().Add(timeout))
-	_, err = fmt.Fprintf(r.conn, "PUT /members/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"+
-		"Content-Length: %d\r\n\r\n%s", r.Name, r.Addr, len(body), body)
-	if err == nil {
-		code, keep, err = readAnswer(r.in)
+	x.conn.SetDeadline(time.Now().Add(timeout))
+	_, x.err = fmt.Fprintf(x.conn, "PUT /members/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"+
+		"Content-Length: %d\r\n\r\n%s", name, x.addr, len(body), body)
+	if x.err == nil {
+		x.sent = true
+		code, x.keep, x.err = readAnswer(x.in)
 	}
-	return code, err
+	return code
 }
 
 var errAnswer = errors.New("not an HTTP/1.1 answer")
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -78,15 +78,12 @@
 			}
 			log := logrus.New()
 			log.SetOutput(io.Discard)
-			up, changed := false, make(chan struct{}, 1)
-			r := Reporter{
-				Addr: ln.Addr().String(), Name: "n3", Log: log.WithField("node", "n3"), Changed: changed,
-				Up: func() (bool, bool) { up = !up; return up, true },
-			}
+			up := false
+			r := New(ln.Addr().String(), "n3", log.WithField("node", "n3"), func() (bool, bool) { up = !up; return up, true }, nil)
 			ctx, end := context.WithCancel(context.Background())
 			reporting, serving, heard := make(chan struct{}), make(chan struct{}), make(chan string)
 			go func() { r.Serve(ctx); close(reporting) }()
-			go func() { stand(ln, c.answers, changed, heard); close(serving) }()
+			go func() { stand(ln, c.answers, heard); close(serving) }()
 			for _, want := range strings.Fields(c.want) {
 				select {
 				case got := <-heard:
@@ -106,7 +103,7 @@
 }
 
 // stand answers reports on ln, one connection after the other, and tells what it has heard.
-func stand(ln net.Listener, answers []string, changed chan<- struct{}, heard chan<- string) {
+func stand(ln net.Listener, answers []string, heard chan<- string) {
 	for n := 0; len(answers) > 0; n++ {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -130,15 +127,57 @@
 			if !strings.HasSuffix(answer, "\r\n\r\n") {
 				break
 			}
-			select {
-			case changed <- struct{}{}: // the next is to come at once
-			default:
-			}
 		}
 		conn.Close()
 	}
 }
 
+// One that gets no answer delays neither a change nor the next report, and a move takes effect at once.
+func TestUnanswered(t *testing.T) {
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ln
+	}
+	accept := func(ln net.Listener) net.Conn {
+		conn, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(soon))
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	ln, next := listen(), listen()
+	defer ln.Close()
+	defer next.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	changed := make(chan struct{})
+	r := New(ln.Addr().String(), "n3", log.WithField("node", "n3"), func() (bool, bool) { return true, true }, changed)
+	ctx, end := context.WithCancel(context.Background())
+	reporting := make(chan struct{})
+	go func() { r.Serve(ctx); close(reporting) }()
+	defer func() { end(); <-reporting }()
+	began := time.Now()
+	defer accept(ln).Close()
+	changed <- struct{}{}
+	defer accept(ln).Close()
+	r.Move(ctx, next.Addr().String())
+	defer accept(next).Close()
+	if gone := time.Since(began); gone > every {
+		t.Errorf("three reports without an answer took %v", gone)
+	}
+	defer accept(next).Close() // at its time, though none has had an answer
+	if gone := time.Since(began); gone < every {
+		t.Errorf("repeated after %v", gone)
+	}
+}
+
 func FuzzReadAnswer(f *testing.F) {
 	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	f.Fuzz(func(t *testing.T, s string) {
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 	MemoryMB        int
 	Sockets         int
 	Opening         *Opening
+
+	read map[string]value // all that it was made of
 }
 
 // Parse reads the lines that the simulator sends. Unknown paths are ignored, missing ones have plain defaults.
@@ -79,6 +82,7 @@
 		}
 	}
 	p := &Process{
+		read:     l.value,
 		Name:     l.must("name"),
 		Listen:   l.address("listen"),
 		Engine:   l.address("engine"),
@@ -104,6 +108,26 @@
 	return p, l.bad
 }
 
+// Moves are the keys that a running process takes anew: the addresses of its partners, and how long it has to
+// leave. All others stay as they were when it started.
+var Moves = []string{"engine", "members", "stop_ms"}
+
+// Stays names the keys in which next differs though they stay, in their order.
+func (p *Process) Stays(next *Process) (keys []string) {
+	for key, v := range next.read {
+		if old, had := p.read[key]; (!had || old != v) && !slices.Contains(Moves, key) {
+			keys = append(keys, key)
+		}
+	}
+	for key := range p.read {
+		if _, has := next.read[key]; !has && !slices.Contains(Moves, key) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // address is host:port.
 func (l *lines) address(path string) string {
 	s := l.must(path)
--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -1,6 +1,7 @@
 package opening
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -117,3 +118,31 @@
 		}
 	}
 }
+
+func TestStays(t *testing.T) {
+	cases := []struct{ name, old, new, want string }{
+		{"nothing changed", "", "", "[]"},
+		{"what moves", "127.0.0.2:4400", "127.0.0.2:4401", "[]"},
+		{"another seed", "8c1f", "8c1e", "[seed]"},
+		{"one value of a list", `"late_worth":0.2`, `"late_worth":0.3`, "[settings.classes.0.late_worth]"},
+		{"another key", `"memory_mb"`, `"x":1,"memory_mb"`, "[limits.x]"},
+	}
+	was, err := parseProcess([]byte(process), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			next, err := parseProcess([]byte(strings.Replace(process, c.old, c.new, 1)), "", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := fmt.Sprint(was.Stays(next)); got != c.want {
+				t.Errorf("stay %s, want %s", got, c.want)
+			}
+			if back := fmt.Sprint(next.Stays(was)); back != c.want {
+				t.Errorf("the other way %s, want %s", back, c.want)
+			}
+		})
+	}
+}
