--- a/cmd/sorrelvalve/serve_test.go
+++ b/cmd/sorrelvalve/serve_test.go
@@ -76,6 +76,7 @@
 	file   string
 	engine net.Listener
 	reread chan os.Signal
+	loaded chan struct{}
 	phases chan string // as they were reported
 	last   string
 	conn   net.Conn
@@ -95,7 +96,7 @@
 
 func start(t *testing.T, stopMs int) *whole {
 	w := &whole{
-		T: t, wait: make(chan struct{}), stop: make(chan os.Signal, 2), reread: make(chan os.Signal), over: make(chan error, 1),
+		T: t, wait: make(chan struct{}), stop: make(chan os.Signal, 2), reread: make(chan os.Signal), loaded: make(chan struct{}, 100), over: make(chan error, 1),
 		file: filepath.Join(t.TempDir(), "config.json"), engine: listen(t), phases: make(chan string, 100),
 	}
 	own := listen(t)
@@ -110,9 +111,11 @@
 		t.Fatal(err)
 	}
 	load := func() (*opening.Process, error) {
+		defer func() { w.loaded <- struct{}{} }()
 		return opening.Load(func(key string) string { return map[string]string{"EDGE_CONFIG": w.file}[key] })
 	}
 	p, err := load()
+	<-w.loaded
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -150,6 +153,7 @@
 		w.Fatal(err)
 	}
 	w.reread <- syscall.SIGHUP
+	<-w.loaded
 }
 
 // reported waits for the first report that differs from those before.
