Bad clients: open ids and tokens with another body are errors, silent connections end

Ruled out: figures out of range, unknown methods, customers and ids, all of which got errors. Also seen: 500 of 512 descriptors in use, as connections that never said anything stayed until their idle time; the accept loop waited for these.

Now the gate knows the ids in hand and a hash of each token's body, and both cases are errors while the first goes on. Fields are checked against their ranges (txn, ram, standing, unique, door ahead of the clock); router numbers may be of any size. A first message and the rest of one that has begun must come within 2 s. At the connection limit what has never spoken goes first. Past 64 open RPCs on a connection the rest is pushed back with when to return instead of the connection ending; peers that make no sense 40 times in a row are read slowly; a frame that can't be read is answered if its id can.

--- a/cmd/sorrelvalve/serve_test.go
+++ b/cmd/sorrelvalve/serve_test.go
@@ -60,7 +60,7 @@
 }
 
 func call(id uint64, method, body string) []byte {
-	f := []string{"txn", fmt.Sprint("t", id), "door", fmt.Sprint(time.Now().UnixMilli())}
+	f := []string{"txn", fmt.Sprintf("%016x", id), "ram", "1", "door", fmt.Sprint(time.Now().UnixMilli())}
 	b := msgpack.AppendString(msgpack.AppendUint(append(msgpack.AppendArray(nil, 4), 0), id), method)
 	b = msgpack.AppendMap(msgpack.AppendArray(b, 2), len(f)/2)
 	for _, s := range f {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/maphash"
 	"math"
 	"runtime/debug"
 	"sync"
@@ -48,14 +49,16 @@
 
 // RPC is what a protocol has read.
 type RPC struct {
+	ID               string // new with every try; "" if the protocol has none
 	Method, Customer string
+	Body             []byte
 	Caller           uint16
 	Subject          uint64  // 0 for none
 	Door             float64 // when it reached the machine, in Unix ms
 	Hint             float64 // expected work in ms, 0 for none
 	HeldKB           float64
 	Retry            bool
-	Token            string // the same in all tries of a tokened RPC
+	Token            string // the same in all tries of a tokened RPC, which also have the same body
 }
 
 // Log takes the lines that the decisions and the gate have to say. The texts are constants; what differs from
@@ -78,7 +81,9 @@
 	wake     float64
 	label    uint64
 	lastID   uint32
-	tickets  map[uint32]*Ticket // until the final verdict and the end of the run
+	tickets  map[uint32]*Ticket  // until the final verdict and the end of the run
+	ids      map[string]struct{} // of these, as their protocol has them
+	hash     maphash.Seed
 	tokens   map[string]*token
 	todo     []control.Event // what the actions of one event brought about
 	draining bool
@@ -91,6 +96,8 @@
 type Ticket struct {
 	g        *Gate
 	id       uint32
+	name     string // the ID of its protocol
+	body     uint64 // hash
 	method   int
 	due      float64 // Unix ms
 	door     float64
@@ -104,6 +111,7 @@
 // token is a try of a tokened RPC that repeats are told of.
 type token struct {
 	id        uint32
+	body      uint64  // hash
 	until     float64 // Unix ms: no try that comes before may run
 	drop      float64 // Unix ms: repeats read late are past their deadline then
 	ran, over bool
@@ -121,7 +129,8 @@
 		log: log, now: time.Now, told: o,
 		methods: map[string]int{}, customers: map[string]int{},
 		maxTokens: memoryMB * 1024 / 4 / tokenKB,
-		tickets:   map[uint32]*Ticket{}, tokens: map[string]*token{},
+		tickets:   map[uint32]*Ticket{}, ids: map[string]struct{}{}, tokens: map[string]*token{},
+		hash:    maphash.MakeSeed(),
 		idle:    ms(o.Fleet.Idle),
 		changed: make(chan struct{}, 1),
 	}
@@ -178,17 +187,24 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// A second one under the id of an RPC in hand would get the result of the first, which it is not.
+	if _, open := g.ids[r.ID]; open {
+		return nil, fmt.Errorf("id: that of an RPC in hand, %.20q", r.ID)
+	}
 	at := g.now()
 	now := unixMs(at)
 	deadline := g.told.Methods[m].Deadline
 	t := &Ticket{
-		g: g, method: m, door: math.Min(r.Door, now),
+		g: g, name: r.ID, method: m, door: math.Min(r.Door, now),
 		verdicts: make(chan Verdict, 2), // a run and a final one
 	}
 	door := math.Max(t.door, now-deadline) // one that is older is past its deadline anyway
 	t.due = door + deadline
 	if tokened {
-		t.key = r.Method + "\x00" + r.Token
+		t.key, t.body = r.Method+"\x00"+r.Token, maphash.Bytes(g.hash, r.Body)
+		if k := g.tokens[t.key]; k != nil && k.body != t.body && t.door < k.until {
+			return nil, fmt.Errorf("token: its first try had another body")
+		}
 	}
 	if g.decide == nil || tokened && g.tokens[t.key] == nil && len(g.tokens) >= g.maxTokens {
 		t.finish(Verdict{Answer: PushedBack})
@@ -204,6 +220,9 @@
 		ev.Original, t.joins = k.id, k
 	}
 	g.tickets[t.id] = t
+	if t.name != "" {
+		g.ids[t.name] = struct{}{}
+	}
 	g.handle(g.clock(at), ev)
 	return t, nil
 }
@@ -268,7 +287,7 @@
 	} else {
 		t.finish(Verdict{Answer: Aborted, Why: "the run failed"})
 	}
-	delete(g.tickets, t.id)
+	g.drop(t)
 	g.handle(g.clock(g.now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
 }
 
@@ -348,6 +367,9 @@
 	return g.idle
 }
 
+// Advice is the time to stay away that goes with what the protocol itself pushes back, within what is honoured.
+func (g *Gate) Advice(away float64) float64 { return math.Min(away, g.told.Fleet.MaxRetryAfter) }
+
 // InHand is the number of RPCs without a final verdict or with a run that is not over.
 func (g *Gate) InHand() int {
 	g.mu.Lock()
@@ -473,7 +495,7 @@
 		g.forget(t.key, k)
 	}
 	until := math.Max(unixMs(g.now())+life, t.door+g.told.Methods[t.method].Window+1) // a door has whole ms
-	g.tokens[t.key] = &token{id: t.id, until: until, drop: until + g.told.Methods[t.method].Deadline}
+	g.tokens[t.key] = &token{id: t.id, body: t.body, until: until, drop: until + g.told.Methods[t.method].Deadline}
 }
 
 // forget drops a token whose try never ran. Those that wait for it end with an error.
@@ -519,7 +541,15 @@
 	t.final = true
 	t.verdicts <- v
 	if !t.running {
-		delete(t.g.tickets, t.id)
+		t.g.drop(t)
 	}
 	return true
 }
+
+// drop takes out a ticket that is over.
+func (g *Gate) drop(t *Ticket) {
+	if g.tickets[t.id] == t {
+		delete(g.tickets, t.id)
+		delete(g.ids, t.name)
+	}
+}
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -19,7 +20,10 @@
 
 const (
 	maxFrame  = 8 << 10                // a body of 2 KiB and fields of some hundred bytes, with room for new ones
-	maxOpen   = 32                     // RPCs on one connection, as the protocol says
+	maxOpen   = 64                     // RPCs on one connection: twice what the protocol says, as answers may be on their way
+	crowded   = 500                    // ms to stay away for one past that: the others are answered by then
+	pointless = 40                     // messages in a row without a sound RPC: more than the cancels that cross answers
+	slowdown  = 20 * time.Millisecond  // before each one after those: fifty a second cost little
 	flushTime = 200 * time.Millisecond // for a peer to take its last answers after a broken frame
 	flushMost = 1 << 20                // and what it may send meanwhile
 	writeTime = 15 * time.Second       // for one answer: past the deadlines told so far, so only a dead caller meets it
@@ -34,9 +38,11 @@
 	mu      sync.Mutex
 	open    map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered
 	last    time.Time               // when something was read or answered
+	spoke   bool                    // a whole message has come
 	told    time.Time               // when the closing notice went out
 	shut    bool                    // closed from here: nothing more is taken, as its router may send it again
 	writing sync.Mutex
+	faults  int // messages in a row without a sound RPC; the reader's own
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -54,6 +60,8 @@
 	case errors.Is(err, io.EOF): // the peer may still read: all that came whole is answered
 	case errors.As(err, &lost):
 		c.leave() // nobody is left to answer
+	case err == errSilent:
+		c.s.log.WithField("peer", c.nc.RemoteAddr()).Info("server: silent connection closed")
 	default:
 		c.s.log.WithField("peer", c.nc.RemoteAddr()).WithError(err).Warn("server: broken frame, connection closed")
 		c.wg.Wait()
@@ -88,7 +96,10 @@
 	}
 }
 
-var errRepeated = errors.New("message id is open already")
+var (
+	errRepeated = errors.New("message id is open already")
+	errSilent   = errors.New("no message came whole in time")
+)
 
 // read takes messages until an error; io.EOF is a clean end. Frames are parsed in the reader's buffer.
 func (c *conn) read() (err error) {
@@ -100,40 +111,76 @@
 	}()
 	in := bufio.NewReaderSize(c.nc, maxFrame)
 	need := 1 // bytes that must be there before another look can find more
+	// A message that has begun must come whole in time, and so must the first: who says nothing, or never
+	// comes to an end, must not keep a descriptor.
+	timed := true
+	c.nc.SetReadDeadline(time.Now().Add(c.s.silence))
 	for {
-		if _, err := in.Peek(need); err == io.EOF && in.Buffered() > 0 {
+		_, err := in.Peek(need)
+		b, _ := in.Peek(in.Buffered())
+		switch {
+		case err == io.EOF && len(b) > 0:
 			return errors.New("the connection ended within a message")
-		} else if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return errSilent
+		case err == bufio.ErrBufferFull:
+			c.broken(b, "the message is too long")
+			return err
+		case err != nil:
 			return err
 		}
-		b, _ := in.Peek(in.Buffered())
 		m, size, err := parseMessage(b)
 		switch err {
 		case nil:
+			if timed {
+				timed = false
+				c.nc.SetReadDeadline(time.Time{})
+			}
 			if err := c.take(m); err != nil {
 				return err
 			}
 			in.Discard(size)
 			need = 1
+			if c.faults > pointless { // only this peer waits, and what it has in hand does not
+				time.Sleep(slowdown)
+			}
 		case msgpack.ErrShort:
 			need = len(b) + 1
+			if !timed {
+				timed = true
+				c.nc.SetReadDeadline(time.Now().Add(c.s.silence))
+			}
 		default:
+			c.broken(b, "the message can't be read")
 			return err
 		}
 	}
 }
 
+// broken answers a call that can't be read, if its id can and is not open.
+func (c *conn) broken(b []byte, why string) {
+	id, ok := numberOf(b)
+	c.mu.Lock()
+	_, taken := c.open[id]
+	ok = ok && !taken && !c.shut
+	c.mu.Unlock()
+	if ok {
+		c.write(failure(id, "Invalid", why))
+	}
+}
+
 // take handles one message.
 func (c *conn) take(m message) error {
 	c.mu.Lock()
-	c.last = time.Now()
+	c.last, c.spoke = time.Now(), true
 	shut := c.shut
 	_, taken := c.open[m.id]
-	if m.kind == typeCall && !taken && !shut {
+	full := len(c.open) >= maxOpen
+	if m.kind == typeCall && !taken && !shut && !full {
 		c.open[m.id] = nil // from here on the connection is not idle
 	}
-	n := len(c.open)
 	c.mu.Unlock()
+	c.faults++
 	switch {
 	case shut:
 		return &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
@@ -145,33 +192,47 @@
 				c.mu.Unlock()
 				if t != nil {
 					t.Leave()
+					c.faults = 0
 				}
 			}
 		}
 		return nil
-	case taken:
+	case taken: // an answer to this number would be a second one to that of the first
 		return errRepeated
-	case n > 2*maxOpen: // answers may still be on their way to a router that counts fewer
-		return errors.New("too many RPCs open")
-	case string(m.method) == "health":
-		c.beside(m.id, nil, func() { c.write(healthAnswer(m.id, c.s.gate.Good())) })
+	case full: // the reader writes this itself: a peer that sends on without reading waits for it
+		c.write(pushback(m.id, c.s.gate.Advice(crowded), false))
+		return nil
+	case string(m.method) == "health" && parseHealth(m.params):
+		c.faults = 0
+		c.write(healthAnswer(m.id, c.s.gate.Good()))
+		c.done(m.id)
 		return nil
 	}
-	rpc, txn, body, err := parseRPC(m.method, m.params)
+	rpc, err := parseRPC(m.method, m.params)
 	var t *gate.Ticket
 	if err == nil {
 		t, err = c.s.gate.Enter(rpc)
 	}
 	if err != nil {
 		c.s.log.WithField("peer", c.nc.RemoteAddr()).WithError(err).Warn("server: senseless RPC")
-		c.beside(m.id, nil, func() { c.write(failure(m.id, "Invalid", err.Error())) })
+		c.write(failure(m.id, "Invalid", err.Error()))
+		c.done(m.id)
 		return nil
 	}
-	c.beside(m.id, t, func() { c.answer(m.id, t, txn, rpc.Method, body) })
+	c.faults = 0
+	c.beside(m.id, t, func() { c.answer(m.id, t, rpc) })
 	return nil
 }
 
-// beside does what answers a message in a goroutine of its own.
+// done frees a message id that has been answered.
+func (c *conn) done(id uint64) {
+	c.mu.Lock()
+	delete(c.open, id)
+	c.last = time.Now()
+	c.mu.Unlock()
+}
+
+// beside does what answers an RPC in a goroutine of its own.
 func (c *conn) beside(id uint64, t *gate.Ticket, do func()) {
 	c.mu.Lock()
 	c.open[id] = t
@@ -183,26 +244,21 @@
 			v := recover()
 			if v != nil {
 				c.s.log.WithField("panic", v).WithField("stack", string(debug.Stack())).Error("server: panic on an RPC")
-				if t != nil {
-					t.Leave()
-				}
+				t.Leave()
 				c.write(failure(id, "Internal", "a fault of the server"))
 			}
-			c.mu.Lock()
-			delete(c.open, id)
-			c.last = time.Now()
-			c.mu.Unlock()
+			c.done(id)
 		}()
 		do()
 	}()
 }
 
 // answer waits for the verdicts on an RPC and carries them out until the final one.
-func (c *conn) answer(id uint64, t *gate.Ticket, txn, method string, body []byte) {
+func (c *conn) answer(id uint64, t *gate.Ticket, rpc gate.RPC) {
 	for {
 		switch v := t.Wait(context.Background()); v.Answer {
 		case gate.Run:
-			c.s.run(txn, method, body, t.Report)
+			c.s.run(rpc.ID, rpc.Method, rpc.Body, t.Report)
 			continue
 		case gate.OK:
 			c.write(okHead(id, len(v.Result)), v.Result, okTail())
@@ -240,11 +296,40 @@
 	}
 }
 
-// idle tells whether nothing is open and no closing notice has gone out, and when something last was.
-func (c *conn) idle() (bool, time.Time) {
+// crossing is how long a connection without anything open is kept at the limit, as an RPC may be on its way: twice
+// the time in which one may cross the closing notice, and enough for a first message.
+const crossing = 100 * time.Millisecond
+
+// room is how readily a connection is given up for a new one, 0 for not at all, and since when it is as it is.
+func (c *conn) room() (readily int, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) == 0 && c.told.IsZero(), c.last
+	switch {
+	case len(c.open) > 0:
+		return 0, c.last
+	case !c.spoke:
+		return unused, c.last
+	case c.told.IsZero():
+		return idle, c.last
+	case time.Since(c.told) > crossing:
+		return leaving, c.last
+	}
+	return 0, c.last
+}
+
+// give asks the router of an idle connection to close it, and closes any other that is still without use.
+func (c *conn) give(readily int) {
+	if readily == idle {
+		c.closing()
+		return
+	}
+	c.mu.Lock()
+	c.shut = c.shut || len(c.open) == 0 && time.Since(c.last) > crossing
+	shut := c.shut
+	c.mu.Unlock()
+	if shut {
+		c.nc.Close()
+	}
 }
 
 // retire closes a connection that has carried nothing for so long: first it is told, then its router closes
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 
 	"sorrelvalve/internal/gate"
 	"sorrelvalve/internal/msgpack"
@@ -59,6 +60,24 @@
 	return m, size, nil
 }
 
+// numberOf returns the message id of a call of which only the beginning can be read.
+func numberOf(b []byte) (id uint64, ok bool) {
+	p := msgpack.Parse(b)
+	if n := p.Array(); n == 4 && p.Uint() == typeCall {
+		id = p.Uint()
+		return id, p.Err() == nil
+	}
+	return 0, false
+}
+
+// parseHealth tells whether the parameters of a check make sense.
+func parseHealth(params []byte) bool {
+	p := msgpack.Parse(params)
+	n := p.Array()
+	p.Map()
+	return n == 1 && p.Err() == nil
+}
+
 // parseCancel returns the message ids in a cancel.
 func parseCancel(params []byte) (ids []uint64) {
 	p := msgpack.Parse(params)
@@ -74,13 +93,15 @@
 	maxBody = 2 << 10 // as the protocol says
 	maxWork = 3.6e6   // ms: an hour of work is no hint
 	maxHeld = 2000.0  // KB, as the protocol says
+	maxText = 64      // of a token: twice what the protocol shows
+	ahead   = 10e3    // ms that a door may lie ahead of our clock: far above what clocks of one machine differ
 )
 
 // parseRPC reads the fields and the body of an RPC. The error says what is wrong with them.
-func parseRPC(method, params []byte) (rpc gate.RPC, txn string, body []byte, err error) {
+func parseRPC(method, params []byte) (rpc gate.RPC, err error) {
 	p := msgpack.Parse(params)
 	if n := p.Array(); p.Err() != nil || n != 2 {
-		return rpc, "", nil, errors.New("params: fields and body expected")
+		return rpc, errors.New("params: fields and body expected")
 	}
 	rpc.Method = string(method)
 	var f fields
@@ -91,11 +112,15 @@
 		}
 		switch string(key) {
 		case "txn":
-			txn = string(v)
+			if rpc.ID = string(v); len(v) != 16 {
+				f.fail("txn", "16 hex digits", v)
+			}
+			f.whole("txn", v, 16)
 		case "door":
-			rpc.Door = f.number("door", v, 1, 1e15)
-		case "lb":
-			rpc.Caller = uint16(f.whole("lb", v, 10, 16))
+			rpc.Door = f.number("door", v, 1, float64(time.Now().UnixMilli())+ahead)
+		case "lb": // of any size: routers come with always new numbers
+			n := f.whole("lb", v, 10)
+			rpc.Caller = uint16(n ^ n>>16 ^ n>>32 ^ n>>48)
 		case "team":
 			rpc.Customer = string(v)
 		case "second":
@@ -103,32 +128,41 @@
 		case "cpu":
 			rpc.Hint = f.number("cpu", v, 0, maxWork)
 		case "ram":
-			rpc.HeldKB = f.number("ram", v, 0, maxHeld)
-		case "standing":
-			f.number("standing", v, 0, 1) // checked; decisions go by criticality and share
+			if rpc.HeldKB = f.number("ram", v, 0, maxHeld); rpc.HeldKB == 0 || rpc.HeldKB == maxHeld {
+				f.fail("ram", fmt.Sprintf("a number between 0 and %g", maxHeld), v)
+			}
+		case "standing": // checked; decisions go by criticality and share
+			if f.number("standing", v, 0, 1) == 1 {
+				f.fail("standing", "a number under 1", v)
+			}
 		case "unique":
-			rpc.Token = string(v)
+			if rpc.Token = string(v); len(v) == 0 || len(v) > maxText {
+				f.fail("unique", fmt.Sprintf("up to %d characters", maxText), v)
+			}
 		case "item":
-			rpc.Subject = f.whole("item", v, 16, 64)
+			rpc.Subject = f.whole("item", v, 16)
 		}
 	}
 	if p.Err() != nil {
-		return rpc, "", nil, errors.New("fields: a map of strings expected")
+		return rpc, errors.New("fields: a map of strings expected")
 	}
-	body = p.Bytes()
+	body := p.Bytes()
 	switch {
 	case p.Err() != nil:
-		return rpc, "", nil, errors.New("body: bytes expected")
+		return rpc, errors.New("body: bytes expected")
 	case len(body) > maxBody:
-		return rpc, "", nil, fmt.Errorf("body: at most %d bytes expected, %d there", maxBody, len(body))
+		return rpc, fmt.Errorf("body: at most %d bytes expected, %d there", maxBody, len(body))
 	case f.bad != nil:
-		return rpc, "", nil, f.bad
-	case txn == "" || len(txn) > 64:
-		return rpc, "", nil, errors.New("txn: up to 64 characters expected")
+		return rpc, f.bad
+	case rpc.ID == "":
+		return rpc, errors.New("txn: 16 hex digits expected, none there")
 	case rpc.Door == 0:
-		return rpc, "", nil, errors.New("door: a time expected, none there")
+		return rpc, errors.New("door: a time expected, none there")
+	case rpc.HeldKB == 0:
+		return rpc, errors.New("ram: a number expected, none there")
 	}
-	return rpc, txn, bytes.Clone(body), nil
+	rpc.Body = bytes.Clone(body)
+	return rpc, nil
 }
 
 // fields reads the values of fields and keeps the first thing found wrong.
@@ -149,10 +183,10 @@
 	return x
 }
 
-func (f *fields) whole(key string, v []byte, base, bits int) uint64 {
-	x, err := strconv.ParseUint(string(v), base, bits)
+func (f *fields) whole(key string, v []byte, base int) uint64 {
+	x, err := strconv.ParseUint(string(v), base, 64)
 	if err != nil {
-		f.fail(key, fmt.Sprintf("a whole number of %d bits to base %d", bits, base), v)
+		f.fail(key, fmt.Sprintf("a whole number to base %d", base), v)
 	}
 	return x
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -29,6 +29,8 @@
 	run  Runner
 	log  *logrus.Entry
 
+	silence time.Duration // a first message, and the rest of one that has begun, must come within this
+
 	ln     *net.TCPListener
 	slots  chan struct{} // one for each connection that may be open
 	over   atomic.Bool   // no more RPCs are wanted: every connection is told so
@@ -43,8 +45,13 @@
 	// reserved descriptors: the listener, the engine, the membership service, the three standard ones and what
 	// the runtime keeps make ten; the rest is for the moments in which a closed one is not yet gone.
 	reserved = 24
+	// silence is well above the stalls of machines, and well under the 3 s after which a connection that says
+	// nothing should be gone.
+	silence = 2 * time.Second
 	// sweepEvery is how often idle connections are looked for: a tenth of the shortest idle time in use.
 	sweepEvery = 100 * time.Millisecond
+	// roomPause is waited for a connection to make room before the next one is looked for.
+	roomPause = 10 * time.Millisecond
 	// acceptPause follows an error of accept, which would else come again at once.
 	acceptPause = 20 * time.Millisecond
 	// lingers is how long a connection stays open after its closing notice and its last answer, for its
@@ -59,7 +66,7 @@
 // New returns a server on ln that may hold so many descriptors.
 func New(ln *net.TCPListener, g *gate.Gate, run Runner, sockets int, log *logrus.Entry) *Server {
 	return &Server{
-		gate: g, run: run, log: log, ln: ln, closed: make(chan struct{}),
+		gate: g, run: run, log: log, silence: silence, ln: ln, closed: make(chan struct{}),
 		slots: make(chan struct{}, max(8, sockets-reserved)), conns: map[*conn]struct{}{},
 	}
 }
@@ -88,13 +95,7 @@
 	defer s.ln.Close()
 	go s.sweep()
 	for {
-		select {
-		case s.slots <- struct{}{}:
-		default:
-			s.log.WithField("most", cap(s.slots)).Warn("server: connection limit reached")
-			s.makeRoom()
-			s.slots <- struct{}{}
-		}
+		s.slot()
 		if s.over.Load() { // one may have waited for its slot: a deadline that is past would pass it over
 			s.ln.SetDeadline(time.Now().Add(lastAccept))
 		}
@@ -124,6 +125,24 @@
 	}
 }
 
+// slot waits for a place for one more connection.
+func (s *Server) slot() {
+	select {
+	case s.slots <- struct{}{}:
+		return
+	default:
+		s.log.WithField("most", cap(s.slots)).Warn("server: connection limit reached")
+	}
+	for {
+		s.makeRoom()
+		select {
+		case s.slots <- struct{}{}:
+			return
+		case <-time.After(roomPause):
+		}
+	}
+}
+
 // sweep closes connections that have carried nothing for as long as the gate says.
 func (s *Server) sweep() {
 	t := time.NewTicker(sweepEvery)
@@ -141,17 +160,26 @@
 	}
 }
 
-// makeRoom asks the router of the connection that has been idle for longest to close it.
+// How readily a connection makes room, from the least.
+const (
+	idle    = 1 + iota // spoken on, nothing open: its router is asked to close it
+	leaving            // asked long enough ago: closed
+	unused             // nothing has ever come whole on it: closed, once that has had its time
+)
+
+// makeRoom gives up the connection that is missed least. Those that have never spoken go first, however many:
+// else a crowd of them would keep sound routers out.
 func (s *Server) makeRoom() {
-	var oldest *conn
+	var least *conn
+	var most int
 	var since time.Time
 	for _, c := range s.all() {
-		if idle, last := c.idle(); idle && (oldest == nil || last.Before(since)) {
-			oldest, since = c, last
+		if readily, last := c.room(); readily > most || readily == most && readily > 0 && last.Before(since) {
+			least, most, since = c, readily, last
 		}
 	}
-	if oldest != nil {
-		oldest.closing()
+	if least != nil {
+		least.give(most)
 	}
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 	done             func(gate.Outcome, float64, []byte)
 }
 
-func start(t *testing.T, sockets int) *rig {
+func start(t *testing.T, sockets int, patience ...time.Duration) *rig {
 	o, err := opening.Parse("classes.count=2\nclasses.0.name=view\nclasses.0.aim=9000000000\n" +
 		"classes.1.name=buy\nclasses.1.aim=9000000000\nclasses.1.idempotency=idempotency_key\n" +
 		"classes.1.window=8000000000\nfamily_info.cores=64\nfamily_info.ram_kb=1000000\nrules.tip_multiple=8\n")
@@ -59,6 +60,8 @@
 		}
 		r.runs <- running{id, method, string(body), done}
 	}, sockets, log.WithField("node", "n0"))
+	for _, r.s.silence = range patience {
+	}
 	go r.s.Serve()
 	t.Cleanup(func() {
 		ctx, end := context.WithTimeout(context.Background(), time.Second)
@@ -80,9 +83,11 @@
 	return conn
 }
 
+var tries atomic.Uint64
+
 // rpc is a frame with the fields given as key, value, ... behind the usual ones.
 func rpc(id uint64, method, body string, more ...string) string {
-	f := append([]string{"txn", fmt.Sprint("t", id), "door", fmt.Sprint(time.Now().UnixMilli()), "lb", "4", "ram", "24.5",
+	f := append([]string{"txn", fmt.Sprintf("%016x", tries.Add(1)), "door", fmt.Sprint(time.Now().UnixMilli()), "lb", "4", "ram", "24.5",
 		"cpu", "12.50", "standing", "0.6250", "item", "7f3a9c21e0b4d655"}, more...)
 	b := msgpack.AppendString(msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(nil, 4), typeCall), id), method)
 	b = msgpack.AppendMap(msgpack.AppendArray(b, 2), len(f)/2)
@@ -179,7 +184,7 @@
 	}{
 		{"one RPC", func(r *rig) {
 			r.says(rpc(1, "view", "\x00\xff"))
-			if run := r.end("\x00\xff"); run.id != "t1" || run.method != "view" {
+			if run := r.end("\x00\xff"); len(run.id) != 16 || run.method != "view" {
 				r.Errorf("ran %+v", run)
 			}
 			r.expect("1 ok r-\x00\xff")
@@ -248,9 +253,13 @@
 		{"senseless RPCs, and the connection goes on", func(r *rig) {
 			for i, s := range []string{
 				rpc(1, "sell", ""), rpc(2, "view", "", "door", "soon"), rpc(3, "view", "", "cpu", "NaN"),
-				rpc(4, "view", "", "lb", "70000"), rpc(5, "view", "", "item", "xyz"), rpc(6, "buy", ""),
+				rpc(4, "view", "", "lb", "-4"), rpc(5, "view", "", "item", "xyz"), rpc(6, "buy", ""),
 				rpc(7, "view", "", "txn", ""), rpc(8, "view", strings.Repeat("x", maxBody+1)),
 				"\x94\x00\x09\xa4view\x91\x80", "\x94\x00\x0a\xa4view\x92\x81\xa1a\x07\xc4\x00", "\x94\x00\x0b\xa4view\x92\x80\x07",
+				rpc(12, "view", "", "ram", "0"), rpc(13, "view", "", "ram", "2000"), rpc(14, "view", "", "standing", "1"),
+				rpc(15, "view", "", "door", "9999999999999"), rpc(16, "view", "", "txn", "0123456789abcde"),
+				rpc(17, "view", "", "txn", "0123456789abcdeg"), rpc(18, "buy", "", "unique", strings.Repeat("u", maxText+1)),
+				"\x94\x00\x13\xa6health\x91\x07",
 			} {
 				r.says(s)
 				r.expect(fmt.Sprintf("%d Invalid", i+1))
@@ -259,6 +268,57 @@
 			r.end("a")
 			r.expect("20 ok r-a")
 		}},
+		{"numbers of any size", func(r *rig) {
+			r.says(rpc(1<<63, "view", "a", "lb", "18446744073709551615", "item", "ffffffffffffffff"))
+			r.end("a")
+			r.expect("9223372036854775808 ok r-a")
+		}},
+		{"the txn of an open RPC, and a token with another body: the first goes on", func(r *rig) {
+			r.says(rpc(1, "view", "a", "txn", "00000000000000ff"))
+			first := <-r.runs
+			r.says(rpc(2, "view", "b", "txn", "00000000000000ff") + rpc(3, "buy", "c", "unique", "v"))
+			r.expect("2 Invalid")
+			second := <-r.runs
+			r.says(rpc(4, "buy", "d", "unique", "v"))
+			r.expect("4 Invalid")
+			second.done(gate.Succeeded, 1, []byte("r-c"))
+			r.expect("3 ok r-c")
+			r.says(rpc(5, "buy", "d", "unique", "v"))
+			r.expect("5 Invalid")
+			first.done(gate.Succeeded, 1, []byte("r-a"))
+			r.expect("1 ok r-a")
+			r.says(rpc(6, "view", "e", "txn", "00000000000000ff")) // over, so it may come again
+			r.end("e")
+			r.expect("6 ok r-e")
+		}},
+		{"hundreds at once: those past the bound are pushed back", func(r *rig) {
+			s := ""
+			for id := uint64(1); id <= 300; id++ {
+				s += rpc(id, "view", "b")
+			}
+			r.says(s)
+			for id := maxOpen + 1; id <= 300; id++ {
+				r.expect(fmt.Sprint(id, " Overloaded"))
+			}
+			for range maxOpen {
+				r.end("b")
+			}
+			for range maxOpen {
+				if got := r.next(); !strings.HasSuffix(got, " ok r-b") {
+					r.Fatalf("read %q", got)
+				}
+			}
+		}},
+		{"a peer that never makes sense is slowed down, and still answered", func(r *rig) {
+			began := time.Now()
+			for id := uint64(1); id <= pointless+5; id++ {
+				r.says(rpc(id, "sell", ""))
+				r.expect(fmt.Sprint(id, " Invalid"))
+			}
+			if gone := time.Since(began); gone < 4*slowdown {
+				r.Errorf("%d answers in %v", pointless+5, gone)
+			}
+		}},
 		{"a half-closed connection gets its answers", func(r *rig) {
 			r.says(rpc(1, "view", "a"))
 			r.conn.(*net.TCPConn).CloseWrite()
@@ -345,9 +405,6 @@
 			r.says(health)
 			r.expect("99 health true")
 			for _, c := range r.s.all() {
-				for idle, _ := c.idle(); !idle; idle, _ = c.idle() {
-					runtime.Gosched() // what answered the check has not ended yet
-				}
 				c.mu.Lock()
 				c.last = c.last.Add(-time.Hour)
 				c.mu.Unlock()
@@ -397,17 +454,23 @@
 
 // A broken frame ends the connection once what came whole before it has been answered.
 func TestBrokenFrames(t *testing.T) {
-	cases := []struct{ name, in string }{
-		{"not MessagePack", "\xc1"},
-		{"not a message", "\x07"},
-		{"an unknown type", "\x94\x05\x01\xa1m\x90"},
-		{"an answer", "\x94\x01\x01\xc0\xc0"},
-		{"a call with too few parts", "\x93\x00\x01\xa1m"},
-		{"a method that is no text", "\x94\x00\x02\x07\x90"},
-		{"too deep", strings.Repeat("\x91", 100)},
-		{"too long", rpc(2, "view", strings.Repeat("x", maxFrame))},
-		{"an id that is open", rpc(1, "view", "")},
-		{"the end within a message", ""},
+	cases := []struct {
+		name, in string
+		answered bool // an id can be read
+	}{
+		{"not MessagePack", "\xc1", false},
+		{"not a message", "\x07", false},
+		{"an unknown type", "\x94\x05\x01\xa1m\x90", false},
+		{"an answer", "\x94\x01\x01\xc0\xc0", false},
+		{"a call with too few parts", "\x93\x00\x01\xa1m", false},
+		{"a method that is no text", "\x94\x00\x02\x07\x90", true},
+		{"too deep", strings.Repeat("\x91", 100), false},
+		{"too deep behind an id", "\x94\x00\x02\xa4view" + strings.Repeat("\x91", 100), true},
+		{"too long", rpc(2, "view", strings.Repeat("x", maxFrame)), true},
+		{"a length beyond all bounds", "\x94\x00\x02\xdb\xff\xff\xff\xff" + strings.Repeat("x", maxFrame), true},
+		{"an id that is open", rpc(1, "view", ""), false},
+		{"a length that is wrong under an id that is open", "\x94\x00\x01\xc1", false},
+		{"the end within a message", "", false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -418,12 +481,57 @@
 				r.says("\x94")
 				r.conn.(*net.TCPConn).CloseWrite()
 			}
+			if c.answered {
+				r.expect("2 Invalid")
+			}
 			r.end("a")
 			r.expect("1 ok r-a", "")
 		})
 	}
 }
 
+// Who says nothing, or never comes to an end, is closed in time; what came whole before is answered.
+func TestSilence(t *testing.T) {
+	cases := []struct {
+		name, first, then string
+	}{
+		{"nothing", "", ""},
+		{"half a message", "", "\x94\x00"},
+		{"half a message behind a whole one", rpc(1, "view", "a"), "\x94\x00\x02\xc6\x03\x93\x87\x00x"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, 1024, 20*time.Millisecond)
+			r.says(c.first + c.then)
+			if c.first != "" {
+				r.end("a")
+				r.expect("1 ok r-a")
+			}
+			r.expect("")
+		})
+	}
+}
+
+// At the limit a crowd that has never spoken makes room before any that has, and keeps no sound one out.
+func TestSilentCrowd(t *testing.T) {
+	r := start(t, 0) // the least there is: 8
+	spoken := r.conn
+	r.says("\x94\x00\x63\xa6health\x91\x80")
+	r.expect("99 health true")
+	for range 50 {
+		r.dial()
+	}
+	r.conn = r.dial()
+	r.says(rpc(1, "view", "a"))
+	r.end("a")
+	r.expect("1 ok r-a")
+	r.conn = spoken
+	r.says(rpc(2, "view", "b"))
+	r.end("b")
+	r.expect("2 ok r-b") // and not closing
+}
+
 // At the limit of connections the one that is idle for longest makes room.
 func TestConnectionLimit(t *testing.T) {
 	r := start(t, 0) // the least there is: 8
@@ -493,9 +601,9 @@
 			t.Fatalf("message of %d bytes in %d", size, len(b))
 		}
 		parseCancel(m.params)
-		if rpc, txn, body, err := parseRPC(m.method, m.params); err == nil &&
-			(txn == "" || len(body) > maxBody || !(rpc.Door > 0) || !(rpc.Hint >= 0 && rpc.HeldKB >= 0)) {
-			t.Errorf("took %+v, txn %q", rpc, txn)
+		if rpc, err := parseRPC(m.method, m.params); err == nil &&
+			(len(rpc.ID) != 16 || len(rpc.Body) > maxBody || !(rpc.Door > 0) || !(rpc.Hint >= 0 && rpc.HeldKB > 0)) {
+			t.Errorf("took %+v", rpc)
 		}
 	})
 }
