At the connection limit what never carried an RPC is closed at once, however many

Seen: 500 of 512 descriptors, the limit reached hundreds of times a second, CPU idle. A probe that counted connections by state twice a second showed 480 of 488 places held by connections that had asked for health once. makeRoom told one of them at a time to close, waited 100 ms for it, with 10 ms between looks, so sixty connections a second were accepted and sound routers waited in the machine's queue; what they had written there was lost at the drain. Ruled out: slow runs, CPU, silent connections, broken links. server.go makeRoom and conn.go room/give are at fault.

Now whatever never carried an RPC goes at once and before all others.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -39,6 +39,7 @@
 	open    map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered
 	last    time.Time               // when something was read or answered
 	spoke   bool                    // a whole message has come
+	used    bool                    // and a sound RPC
 	told    time.Time               // when the closing notice went out
 	shut    bool                    // closed from here: nothing more is taken, as its router may send it again
 	writing sync.Mutex
@@ -235,7 +236,7 @@
 // beside does what answers an RPC in a goroutine of its own.
 func (c *conn) beside(id uint64, t *gate.Ticket, do func()) {
 	c.mu.Lock()
-	c.open[id] = t
+	c.open[id], c.used = t, true
 	c.mu.Unlock()
 	c.wg.Add(1)
 	go func() {
@@ -297,34 +298,31 @@
 }
 
 // crossing is how long a connection without anything open is kept at the limit, as an RPC may be on its way: twice
-// the time in which one may cross the closing notice, and enough for a first message.
+// the time in which one that crosses a close is sent again, and enough for a first message.
 const crossing = 100 * time.Millisecond
 
-// room is how readily a connection is given up for a new one, 0 for not at all, and since when it is as it is.
-func (c *conn) room() (readily int, since time.Time) {
+// room is how readily the connection is given up for another, and when something last came or went on it.
+func (c *conn) room() (readily int, last time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	quiet := time.Since(c.last) > crossing
 	switch {
 	case len(c.open) > 0:
-		return 0, c.last
-	case !c.spoke:
-		return unused, c.last
-	case c.told.IsZero():
+		return busy, c.last
+	case !c.used && (c.spoke || quiet):
+		return useless, c.last
+	case !c.used:
+		return young, c.last
+	case quiet:
 		return idle, c.last
-	case time.Since(c.told) > crossing:
-		return leaving, c.last
 	}
-	return 0, c.last
+	return busy, c.last
 }
 
-// give asks the router of an idle connection to close it, and closes any other that is still without use.
-func (c *conn) give(readily int) {
-	if readily == idle {
-		c.closing()
-		return
-	}
+// give closes the connection unless something has come on it. What crosses that is sent again: it is not taken here.
+func (c *conn) give(last time.Time) {
 	c.mu.Lock()
-	c.shut = c.shut || len(c.open) == 0 && time.Since(c.last) > crossing
+	c.shut = c.shut || len(c.open) == 0 && c.last.Equal(last)
 	shut := c.shut
 	c.mu.Unlock()
 	if shut {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -160,26 +160,27 @@
 	}
 }
 
-// How readily a connection makes room, from the least.
+// How readily a connection is given up for another, from the least.
 const (
-	idle    = 1 + iota // spoken on, nothing open: its router is asked to close it
-	leaving            // asked long enough ago: closed
-	unused             // nothing has ever come whole on it: closed, once that has had its time
+	busy    = iota // something is open, or may be on its way
+	idle           // it has carried RPCs
+	young          // its first message may be on its way: that is waited for before any idle one is given up
+	useless        // never more than silence, nonsense or a check, each of which has a connection of its own
 )
 
-// makeRoom gives up the connection that is missed least. Those that have never spoken go first, however many:
-// else a crowd of them would keep sound routers out.
+// makeRoom gives up the connection that is missed least. Those that were never of use go first, however many: else
+// a crowd of them would keep sound routers out.
 func (s *Server) makeRoom() {
 	var least *conn
 	var most int
 	var since time.Time
 	for _, c := range s.all() {
-		if readily, last := c.room(); readily > most || readily == most && readily > 0 && last.Before(since) {
+		if readily, last := c.room(); readily > most || readily == most && last.Before(since) {
 			least, most, since = c, readily, last
 		}
 	}
-	if least != nil {
-		least.give(most)
+	if most == idle || most == useless {
+		least.give(since)
 	}
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -513,23 +513,39 @@
 	}
 }
 
-// At the limit a crowd that has never spoken makes room before any that has, and keeps no sound one out.
-func TestSilentCrowd(t *testing.T) {
-	r := start(t, 0) // the least there is: 8
-	spoken := r.conn
-	r.says("\x94\x00\x63\xa6health\x91\x80")
-	r.expect("99 health true")
-	for range 50 {
-		r.dial()
+// At the limit a crowd that was never of use makes room at once and before any other, and keeps no sound one out.
+func TestUselessCrowd(t *testing.T) {
+	cases := []struct{ name, each string }{
+		{"silent", ""},
+		{"checks on connections that stay", "\x94\x00\x63\xa6health\x91\x80"},
+		{"nonsense", "\x94\x00\x09\xa4view\x91\x80"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, 0) // the least there is: 8
+			sound := r.conn
+			r.says(rpc(1, "view", "a"))
+			r.end("a")
+			r.expect("1 ok r-a")
+			began := time.Now()
+			for range 100 {
+				r.conn = r.dial()
+				r.says(c.each)
+			}
+			r.conn = r.dial()
+			r.says(rpc(1, "view", "b"))
+			r.end("b")
+			r.expect("1 ok r-b")
+			if gone := time.Since(began); gone > 100/7*2*crossing+soon/10 {
+				t.Errorf("kept out for %v", gone)
+			}
+			r.conn, r.buf = sound, nil
+			r.says(rpc(2, "view", "c"))
+			r.end("c")
+			r.expect("2 ok r-c")
+		})
 	}
-	r.conn = r.dial()
-	r.says(rpc(1, "view", "a"))
-	r.end("a")
-	r.expect("1 ok r-a")
-	r.conn = spoken
-	r.says(rpc(2, "view", "b"))
-	r.end("b")
-	r.expect("2 ok r-b") // and not closing
 }
 
 // At the limit of connections the one that is idle for longest makes room.
