Gauges have an age: old ones are not taken as of now; a link that says nothing for a second ends

A link on which the engine answers nothing, without an end of the connection, was kept for good.

Now gauges older than 500 ms, what one of them covers, are told as stale, and neither the run limit nor the share of arrivals moves on these. After a second without a line, with 25 STATs sent, the link is made anew; what runs is found there. Tests: stale cases in TestPressure, TestCrowd and TestLink; a silent engine in TestLink.

--- a/control/api.go
+++ b/control/api.go
@@ -136,6 +136,7 @@
 
 // Gauges are the node's own, as they stand when a timer comes due.
 type Gauges struct {
+	Stale   bool    // the others are not of now, and tell nothing
 	CoreUse float64 // share of the cores busy over the last half second
 	OnCores float64 // all that wants a core now
 }
--- a/control/control.go
+++ b/control/control.go
@@ -481,9 +481,9 @@
 	if gap := c.now - c.wake; gap > 3*period {
 		c.ramp.begin += gap // a stall ran the clock without traffic: the ramp's does not count it
 	}
-	c.limit.step(c.now, g.OnCores, c.active)
+	c.limit.step(c.now, g, c.active)
 	if c.looks++; c.looks%5 == 0 { // twice in the half second that the gauge covers
-		c.pressure.step(g.CoreUse)
+		c.pressure.step(g)
 		if c.tries.step(c.limit.unread) {
 			c.do(Action{Do: IdleAfter, Time: c.tries.idle})
 		}
@@ -630,14 +630,14 @@
 }
 
 // step moves the share.
-func (p *pressure) step(busy float64) {
+func (p *pressure) step(g *Gauges) {
 	const (
 		cut  = 0.95 // halves the share in under three seconds
 		rise = 0.02 // from a half to all in five
 	)
-	if slices.Max(p.late) > 1 && busy > 0.9 {
+	if !g.Stale && slices.Max(p.late) > 1 && g.CoreUse > 0.9 {
 		p.share = math.Max(0.1, p.share*cut)
-	} else {
+	} else if !g.Stale { // without a gauge the share stays
 		p.share = math.Min(1, p.share+rise)
 	}
 }
@@ -718,11 +718,11 @@
 // read hears how long an arrival waited unread; about ten arrivals are remembered.
 func (l *runLimit) read(waited float64) { l.unread += 0.1 * (waited - l.unread) }
 
-func (l *runLimit) step(now, onCores float64, active int) {
+func (l *runLimit) step(now float64, g *Gauges, active int) {
 	const weight = 0.02 // two seconds of memory at the usual period
 	l.now = now
-	if active > 0 && float64(active) >= l.cores/2 {
-		l.onCore += weight * (math.Min(1, onCores/float64(active)) - l.onCore)
+	if !g.Stale && active > 0 && float64(active) >= l.cores/2 {
+		l.onCore += weight * (math.Min(1, g.OnCores/float64(active)) - l.onCore)
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -98,14 +98,15 @@
 			p := pressure{share: 1, late: make([]float64, 1)}
 			for range 20 {
 				p.learn(0, c.latency, 1000)
-				p.step(c.busy)
+				p.step(&Gauges{CoreUse: c.busy})
 			}
-			if !c.want(p.share) {
-				t.Errorf("share %v", p.share)
+			share := p.share
+			if p.step(&Gauges{Stale: true}); !c.want(share) || p.share != share {
+				t.Errorf("share %v, and %v after a gauge that is not of now", share, p.share)
 			}
 			for range 100 {
 				p.learn(0, 100, 1000)
-				p.step(1)
+				p.step(&Gauges{CoreUse: 1})
 			}
 			if p.share != 1 {
 				t.Errorf("share %v long after", p.share)
@@ -262,13 +263,14 @@
 	}{
 		{"work that fills the cores", false, Gauges{OnCores: 2, CoreUse: 1}, 2},
 		{"work that waits for disk half its time", false, Gauges{OnCores: 1, CoreUse: 0.6}, 8},
+		{"a gauge that is not of now", false, Gauges{Stale: true}, 2},
 		{"cold: all may come back from disk at once", true, Gauges{OnCores: 0.5, CoreUse: 0.6}, 5},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			l := runLimit{cores: 2, cold: c.cold, start: 0.2, warmBy: 20000, ceiling: 8, onCore: 1}
 			for i := range 100 {
-				l.step(float64(i)*period, c.gauge.OnCores, 2)
+				l.step(float64(i)*period, &c.gauge, 2)
 			}
 			if n := l.runs(); n > c.most || n < c.most/2 {
 				t.Errorf("%d runs on 2 cores, want at most %d", n, c.most)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,6 +62,8 @@
 	minWait  = 5 * time.Millisecond    // before the first new link: RPCs wait for it
 	maxWait  = 500 * time.Millisecond  // and at most, while there is no engine
 	maxAgo   = 1e12                    // ms: thirty years
+	quiet    = time.Second             // an engine that answers none of 25 STATs has lost this link, whatever the socket says
+	stale    = 500 * time.Millisecond  // older gauges tell nothing of now: the longest time that one of them covers
 	longPast = 1000 * time.Millisecond // a link that has lived so long was a good one: begin with minWait again
 )
 
@@ -79,6 +81,7 @@
 	last   uint64
 	runs   map[string]*run
 	gauges []float64
+	told   time.Time // when these came
 	mark   uint64
 	marks  map[string]chan struct{}
 }
@@ -148,12 +151,13 @@
 	}
 }
 
-// Gauges asks for the gauges and waits for them a little; then the latest known are returned.
+// Gauges asks for the gauges and waits for them a little; then the latest known are returned, or none if these are
+// old, as they are after a while without a link.
 func (l *Link) Gauges(wait time.Duration) []float64 {
 	l.mu.Lock()
 	if !l.synced {
 		defer l.mu.Unlock()
-		return l.gauges
+		return l.fresh()
 	}
 	mark, heard := l.stat()
 	l.mu.Unlock()
@@ -166,6 +170,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.marks, mark)
+	return l.fresh()
+}
+
+func (l *Link) fresh() []float64 {
+	if time.Since(l.told) > stale {
+		return nil
+	}
 	return l.gauges
 }
 
@@ -276,6 +287,11 @@
 	l.mu.Unlock()
 	in := bufio.NewReaderSize(conn, maxLine)
 	for {
+		l.mu.Lock()
+		if l.synced { // before that the engine may have yet to start
+			conn.SetReadDeadline(time.Now().Add(quiet))
+		}
+		l.mu.Unlock()
 		b, err := in.ReadSlice('\n')
 		if err != nil {
 			return err
@@ -308,7 +324,7 @@
 		l.begun(n.Status == "booting", time.Duration(ago*float64(time.Millisecond)))
 		return
 	case "STATS":
-		l.gauges = n.V
+		l.gauges, l.told = n.V, time.Now()
 		l.answered(n.Mark)
 	case "NO":
 		if n.Rid == "" {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -191,6 +191,15 @@
 			s.says(`{"t":"NO","status":"RUN","rid":"a"}`)
 			s.ended("a error 2")
 		}},
+		{"an engine that says nothing any more: a new link, though the old one never ended", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			s.run("a", "x")
+			s.reads(s.runs("a", "x"))
+			s.accept(0)
+			s.hello("2")
+			s.reads(s.runs("a", "x"))
+		}},
 		{"the same try sent to us twice runs once", func(s *stand) {
 			s.accept(0)
 			s.hello("1")
@@ -269,6 +278,12 @@
 			if v := <-got; len(v) != 2 || v[1] != 4 {
 				s.Errorf("gauges %v", v)
 			}
+			s.link.mu.Lock()
+			s.link.told = time.Now().Add(-2 * stale)
+			s.link.mu.Unlock()
+			if v := s.link.Gauges(time.Millisecond); v != nil {
+				s.Errorf("gauges %v, which are old", v)
+			}
 		}},
 	}
 	for _, c := range cases {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -291,7 +291,7 @@
 	g.handle(g.clock(g.now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
 }
 
-// Tick moves the clock on, with the gauges as they stand in the order told, and returns the time until it
+// Tick moves the clock on, with the gauges as they stand in the order told, none if they are not known, and returns the time until it
 // should be called next. Ticks that came due in a stall are made up for by one.
 func (g *Gate) Tick(gauges []float64) time.Duration {
 	g.mu.Lock()
@@ -303,6 +303,7 @@
 	now := g.clock(at)
 	if now >= g.wake {
 		ev := control.Event{Kind: control.Timer, Label: g.label}
+		ev.Gauges.Stale = len(gauges) == 0 && len(g.told.Gauges) > 0
 		for i := range min(len(gauges), len(g.told.Gauges)) {
 			switch g.told.Gauges[i] {
 			case "core_use":
