--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -71,6 +71,7 @@
 type Link struct {
 	log   *logrus.Entry
 	begun func(cold bool, ago time.Duration)
+	quiet time.Duration // a link on which the engine says nothing for so long is lost
 
 	mu     sync.Mutex
 	addr   string
@@ -97,7 +98,7 @@
 // New returns a link to the engine at addr. begun is called each time that a link hears when the engine started.
 func New(addr string, log *logrus.Entry, begun func(cold bool, ago time.Duration)) *Link {
 	return &Link{
-		addr: addr, log: log, begun: begun, leave: func() {}, runs: map[string]*run{}, marks: map[string]chan struct{}{},
+		addr: addr, log: log, begun: begun, quiet: quiet, leave: func() {}, runs: map[string]*run{}, marks: map[string]chan struct{}{},
 	}
 }
 
@@ -289,7 +290,7 @@
 	for {
 		l.mu.Lock()
 		if l.synced { // before that the engine may have yet to start
-			conn.SetReadDeadline(time.Now().Add(quiet))
+			conn.SetReadDeadline(time.Now().Add(l.quiet))
 		}
 		l.mu.Unlock()
 		b, err := in.ReadSlice('\n')
