A cancelled RPC is answered as such, so that who withdrew all it sent hears something in time

Read in conn.answer: a cancelled RPC had no answer at all, so a client that withdraws all it has sent hears nothing until the idle limit (one second and more, as the module sets it) and the 1.5 s after the notice. One answer after a cancel does no harm, says the protocol.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -267,6 +267,8 @@
 			c.write(pushback(id, v.Away, v.Last))
 		case gate.Aborted:
 			c.write(failure(id, "Aborted", v.Why))
+		case gate.Gone: // nothing is owed, but who withdrew all it sent would else hear nothing until the idle limit
+			c.write(failure(id, "Cancelled", "its caller no longer waits"))
 		}
 		return
 	}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -224,13 +224,30 @@
 			run.done(gate.Failed, 1, nil)
 			r.expect("1 Aborted")
 		}},
-		{"a cancelled one has no answer", func(r *rig) {
-			r.says(rpc(1, "view", "a") + cancel(1) + cancel(77) + "\x93\x02\xa4sing\x90" + rpc(2, "view", "b"))
-			for range 2 {
-				run := <-r.runs
-				run.done(gate.Succeeded, 1, []byte("r-"+run.body))
+		{"hundreds withdrawn at once: each hears of it, and all is free again", func(r *rig) {
+			s := cancel(77) + "\x93\x02\xa4sing\x90"
+			for id := uint64(1); id <= maxOpen; id++ {
+				s += rpc(id, "view", "a")
+			}
+			for id := uint64(1); id <= maxOpen+pointless/2; id++ { // some cross their answers
+				s += cancel(id)
+			}
+			r.says(s)
+			for range maxOpen {
+				if got := r.next(); !strings.HasSuffix(got, " Cancelled") {
+					r.Fatalf("read %q", got)
+				}
+			}
+			go func() {
+				for run := range r.runs {
+					run.done(gate.Succeeded, 1, []byte("r-"+run.body))
+				}
+			}()
+			r.says(rpc(400, "view", "b"))
+			r.expect("400 ok r-b") // in spite of runs that have yet to end
+			for r.g.InHand() > 0 {
+				runtime.Gosched()
 			}
-			r.expect("2 ok r-b")
 		}},
 		{"a repeat is joined", func(r *rig) {
 			r.says(rpc(1, "buy", "a", "unique", "u") + rpc(2, "buy", "a", "unique", "u", "second", "1"))
