A broken connection and an RPC withdrawn at once teach the module no habit of their caller

Seen: a test that withdraws 64 RPCs of one caller at once had that caller's next sound RPC pushed back. Control.left took their ages of about a millisecond for the caller's patience; as nothing of that caller then runs, nothing could unlearn it. A client that withdraws hundreds under a router's number could shut that router out of a server.

Now ages under a tenth of the tightest latency target, and connections that broke (Outcome Reset), teach nothing.

--- a/control/api.go
+++ b/control/api.go
@@ -92,7 +92,7 @@
 const (
 	Begin  Kind = iota // the instance has just been made
 	Arrive             // an RPC has been read and is held
-	Left               // its caller no longer waits
+	Left               // its caller no longer waits; Outcome is Reset if its connection broke
 	Ended              // a run or a join is over
 	Wait               // a running RPC stands at a call
 	Called             // a call is over
@@ -128,7 +128,7 @@
 	Hint     float64 // Arrive: expected work on a standard core; 0 for none
 	HeldKB   float64 // Arrive: its memory while held
 	Retry    bool    // Arrive: marked as a further try
-	Outcome  Outcome // Ended, Called
+	Outcome  Outcome // Left, Ended, Called
 	Spent    float64 // Ended, Called: since the action that began it
 	Label    uint64  // Timer
 	Gauges   Gauges  // Timer
--- a/control/control.go
+++ b/control/control.go
@@ -109,7 +109,7 @@
 	case Arrive:
 		c.arrive(&ev)
 	case Left:
-		c.left(i)
+		c.left(i, ev.Outcome == Reset)
 	case Ended:
 		c.ended(i, &ev)
 	case Wait:
@@ -326,10 +326,9 @@
 // drop takes an RPC out of the slab.
 func (c *Control) drop(i int) {
 	r := &c.in.rpc[i]
-	switch r.state {
-	case held:
+	if r.state == held {
 		c.hold.remove(i, r.line)
-	case running:
+	} else if r.state == running {
 		c.active--
 	}
 	c.used -= r.kb
@@ -395,10 +394,13 @@
 	p.learn(spent/c.speed, r.work, r.below)
 }
 
-// left hears that a caller no longer waits.
-func (c *Control) left(i int) {
+// left hears that a caller no longer waits. One whose connection broke, or who withdraws at once what it sent, shows
+// no patience: taken for a habit, it would have all that caller's RPCs pushed back, and none left to unlearn it by.
+func (c *Control) left(i int, broke bool) {
 	r := &c.in.rpc[i]
-	c.habits[r.caller] = c.habits[r.caller].left(c.now - r.arrived)
+	if age := c.now - r.arrived; !broke && age > c.tightest/10 { // no try is given up in less
+		c.habits[r.caller] = c.habits[r.caller].left(age)
+	}
 	r.answered = true
 	c.forget(r)
 	c.abort(i)
@@ -500,11 +502,10 @@
 	c.note(2, !c.health.good, "health: no, flooded, or alone in pushing back", "health: good again")
 	c.note(3, c.short, "memory: no room for more", "memory: room again")
 	c.note(4, 2*c.calls.most < c.calls.share, "calls: fewer in hand, slow below", "calls: as many as before")
-	c.short = false
+	c.short, c.wake = false, c.now+period
 	for i := range c.in.rpc {
 		c.review(i)
 	}
-	c.wake = c.now + period
 	c.do(Action{Do: Arm, Time: c.wake})
 }
 
@@ -791,8 +792,7 @@
 		return 1
 	}
 	age := now - begin + 1000 // the first second is too short to tell a rate
-	s.count *= math.Exp((s.last - now) / memory)
-	s.last = now
+	s.count, s.last = s.count*math.Exp((s.last-now)/memory), now
 	if !again {
 		s.count++
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -382,11 +382,14 @@
 	cases := []struct {
 		name string
 		ages []float64
+		how  Outcome
 		out  bool
 	}{
-		{"three tries left alike", []float64{800, 820, 810, 800}, true},
-		{"left for reasons of their own", []float64{800, 100, 1500, 300}, false},
-		{"none left", nil, false},
+		{"three tries left alike", []float64{800, 820, 810, 800}, Error, true},
+		{"left for reasons of their own", []float64{800, 100, 1500, 300}, Error, false},
+		{"connections that broke", []float64{800, 820, 810, 800}, Reset, false},
+		{"withdrawn at once", []float64{1, 1, 1, 1, 1, 1}, Error, false},
+		{"none left", nil, Error, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -404,7 +407,7 @@
 			for _, age := range c.ages {
 				w.arrive(id, Event{Hint: 800})
 				w.now += age
-				w.ev(Event{Kind: Left, RPC: id})
+				w.ev(Event{Kind: Left, RPC: id, Outcome: c.how})
 				w.end(id, OK, 1600)
 				id++
 			}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -248,17 +248,22 @@
 }
 
 // Leave tells that the caller no longer waits. It does nothing once there is a final verdict.
-func (t *Ticket) Leave() {
+func (t *Ticket) Leave() { t.leave(control.Error) }
+
+// Lost tells that the caller's connection broke, which says nothing of how long it would have waited.
+func (t *Ticket) Lost() { t.leave(control.Reset) }
+
+func (t *Ticket) leave(how control.Outcome) {
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	t.g.end(t, Verdict{Answer: Gone})
+	t.g.end(t, how, Verdict{Answer: Gone})
 }
 
 // end gives a final verdict that the module has no part in. The module hears first, so that it can still
 // drop the token of what never ran.
-func (g *Gate) end(t *Ticket, v Verdict) {
+func (g *Gate) end(t *Ticket, how control.Outcome, v Verdict) {
 	if !t.final {
-		g.handle(g.clock(g.now()), control.Event{Kind: control.Left, RPC: t.id})
+		g.handle(g.clock(g.now()), control.Event{Kind: control.Left, RPC: t.id, Outcome: how})
 		t.finish(v)
 	}
 }
@@ -324,7 +329,7 @@
 	for _, t := range g.tickets {
 		if !t.final && now > t.due+g.told.Slack/2 {
 			g.log("gate: an RPC was overdue", "")
-			g.end(t, Verdict{Answer: Aborted, Why: "overdue"})
+			g.end(t, control.Reset, Verdict{Answer: Aborted, Why: "overdue"})
 		}
 	}
 	for key, k := range g.tokens {
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -93,7 +93,7 @@
 	}
 	c.mu.Unlock()
 	for _, t := range tickets {
-		t.Leave()
+		t.Lost()
 	}
 }
 
@@ -245,7 +245,7 @@
 			v := recover()
 			if v != nil {
 				c.s.log.WithField("panic", v).WithField("stack", string(debug.Stack())).Error("server: panic on an RPC")
-				t.Leave()
+				t.Lost()
 				c.write(failure(id, "Internal", "a fault of the server"))
 			}
 			c.done(id)
