A length beyond any message is answered at once; a link without a hello is made anew

A message that claims 60 MB was read up to the 8 KiB of the buffer before it was found too long, and a peer that stops after the claim was cut off without a word (conn.read asked for one byte more each time, and parsed the beginning again for each piece that came). The parser now tells how many bytes lack at the least: what can't fit is an error at once, the rest is waited for as a whole. A new link that the engine accepts and then says nothing on was waited for without end, as before the first start; once the engine has started that counts as lost after a second, too.

Tests: two claims in TestBrokenFrames, Lack in FuzzSkip, a link without a hello in TestQuiet.

--- a/control/control.go
+++ b/control/control.go
@@ -394,8 +394,8 @@
 	p.learn(spent/c.speed, r.work, r.below)
 }
 
-// left hears that a caller no longer waits. One whose connection broke, or who withdraws at once what it sent, shows
-// no patience: taken for a habit, it would have all that caller's RPCs pushed back, and none left to unlearn it by.
+// left hears that a caller no longer waits. A connection that broke and what is withdrawn at once show no
+// habit: taken for one, they would have all of that caller's RPCs pushed back, with none left to unlearn it.
 func (c *Control) left(i int, broke bool) {
 	r := &c.in.rpc[i]
 	if age := c.now - r.arrived; !broke && age > c.tightest/10 { // no try is given up in less
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,6 +78,7 @@
 	leave  context.CancelFunc // ends what goes on with the address as it was
 	conn   net.Conn           // nil without a link
 	out    chan []byte        // lines to be written on it
+	hello  bool               // the engine has started: it has said so on some link
 	synced bool               // all missed notices of this link have been read: runs may be sent
 	last   uint64
 	runs   map[string]*run
@@ -98,7 +99,8 @@
 // New returns a link to the engine at addr. begun is called each time that a link hears when the engine started.
 func New(addr string, log *logrus.Entry, begun func(cold bool, ago time.Duration)) *Link {
 	return &Link{
-		addr: addr, log: log, begun: begun, quiet: quiet, leave: func() {}, runs: map[string]*run{}, marks: map[string]chan struct{}{},
+		addr: addr, log: log, begun: begun, quiet: quiet, leave: func() {},
+		runs: map[string]*run{}, marks: map[string]chan struct{}{},
 	}
 }
 
@@ -289,7 +291,7 @@
 	in := bufio.NewReaderSize(conn, maxLine)
 	for {
 		l.mu.Lock()
-		if l.synced { // before that the engine may have yet to start
+		if l.hello { // before the first one the engine may have yet to start
 			conn.SetReadDeadline(time.Now().Add(l.quiet))
 		}
 		l.mu.Unlock()
@@ -318,6 +320,7 @@
 	}
 	switch n.T {
 	case "HELLO":
+		l.hello = true
 		l.stat() // its answer comes behind the notices that were missed
 		l.mu.Unlock()
 		l.log.WithFields(logrus.Fields{"status": n.Status, "ms": n.TimeMs}).Info("engine: attached")
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -116,9 +116,14 @@
 func TestQuiet(t *testing.T) {
 	s := start(t, 50*time.Millisecond)
 	s.accept(0)
+	s.run("z", "x") // an engine that has yet to start may take its time
+	time.Sleep(2 * s.link.quiet)
 	s.hello("1")
+	s.reads(s.runs("z", "x"))
+	s.says(`{"t":"NO","status":"RUN","rid":"z"}`)
 	s.run("a", "x")
 	s.reads(s.runs("a", "x"))
+	s.accept(0) // on which it does not even say hello
 	s.accept(0)
 	s.hello("2")
 	s.reads(s.runs("a", "x"))
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -296,8 +296,8 @@
 	g.handle(g.clock(g.now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
 }
 
-// Tick moves the clock on, with the gauges as they stand in the order told, none if they are not known, and returns the time until it
-// should be called next. Ticks that came due in a stall are made up for by one.
+// Tick moves the clock on, with the gauges as they stand in the order told, none if they are not known. It returns
+// the time until it should be called next. Ticks that came due in a stall are made up for by one.
 func (g *Gate) Tick(gauges []float64) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/msgpack/msgpack.go
+++ b/internal/msgpack/msgpack.go
@@ -21,9 +21,10 @@
 
 // Parser reads one value after the other. The first error stays, and all that is read after it is zero.
 type Parser struct {
-	b   []byte
-	at  int
-	err error
+	b    []byte
+	at   int
+	lack uint64
+	err  error
 }
 
 // Parse returns a parser of b.
@@ -32,6 +33,9 @@
 // Err is the first error met.
 func (p *Parser) Err() error { return p.err }
 
+// Lack is, after ErrShort, how many bytes more there must be at the least.
+func (p *Parser) Lack() uint64 { return p.lack }
+
 // At is the number of bytes read.
 func (p *Parser) At() int { return p.at }
 
@@ -41,12 +45,17 @@
 	}
 }
 
-func (p *Parser) take(n uint64) []byte {
-	if p.err != nil {
-		return nil
+// has tells whether n more bytes are there.
+func (p *Parser) has(n uint64) bool {
+	left := uint64(len(p.b) - p.at)
+	if p.err == nil && n > left {
+		p.err, p.lack = ErrShort, n-left
 	}
-	if n > uint64(len(p.b)-p.at) {
-		p.fail(ErrShort)
+	return p.err == nil
+}
+
+func (p *Parser) take(n uint64) []byte {
+	if !p.has(n) {
 		return nil
 	}
 	b := p.b[p.at : p.at+int(n)]
@@ -55,10 +64,7 @@
 }
 
 func (p *Parser) peek() byte {
-	if p.err == nil && p.at == len(p.b) {
-		p.fail(ErrShort)
-	}
-	if p.err != nil {
+	if !p.has(1) {
 		return 0
 	}
 	return p.b[p.at]
@@ -165,8 +171,7 @@
 // items returns a count; each item takes a byte at least, so a false one is found here.
 func (p *Parser) items(k kind, each uint64) int {
 	n := p.want(k)
-	if n*each > uint64(len(p.b)-p.at) {
-		p.fail(ErrShort)
+	if !p.has(n * each) {
 		return 0
 	}
 	return int(n)
@@ -215,7 +220,7 @@
 		n *= 2
 		fallthrough
 	case arrayKind:
-		for ; n > 0 && p.err == nil; n-- {
+		for p.has(n); n > 0 && p.err == nil; n-- {
 			p.skip(depth + 1)
 		}
 	}
--- a/internal/msgpack/msgpack_test.go
+++ b/internal/msgpack/msgpack_test.go
@@ -89,8 +89,8 @@
 			t.Fatalf("read %d of %d bytes", p.At(), len(b))
 		}
 		cut := Parse(bytes.Clone(b[:p.At()-1]))
-		if cut.Skip(); cut.Err() != ErrShort {
-			t.Errorf("cut by one byte: error %v", cut.Err())
+		if cut.Skip(); cut.Err() != ErrShort || cut.Lack() != 1 {
+			t.Errorf("cut by one byte: error %v, %d lack", cut.Err(), cut.Lack())
 		}
 	})
 }
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -124,9 +124,6 @@
 			return errors.New("the connection ended within a message")
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return errSilent
-		case err == bufio.ErrBufferFull:
-			c.broken(b, "the message is too long")
-			return err
 		case err != nil:
 			return err
 		}
@@ -146,13 +143,13 @@
 				time.Sleep(slowdown)
 			}
 		case msgpack.ErrShort:
-			need = len(b) + 1
+			need = size
 			if !timed {
 				timed = true
 				c.nc.SetReadDeadline(time.Now().Add(c.s.silence))
 			}
 		default:
-			c.broken(b, "the message can't be read")
+			c.broken(b, err.Error())
 			return err
 		}
 	}
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -31,13 +31,18 @@
 
 var errFrame = errors.New("no message of the protocol")
 
-// parseMessage takes the first message of b and returns how long it is. The error is msgpack.ErrShort while
-// more of it is to come.
+var errLong = fmt.Errorf("a message of more than %d bytes", maxFrame)
+
+// parseMessage takes the first message of b and returns how long it is. The error is msgpack.ErrShort while more of it
+// is to come; size is then how long it is at the least. What it claims beyond the bound is not waited for.
 func parseMessage(b []byte) (m message, size int, err error) {
 	p := msgpack.Parse(b)
 	p.Skip()
-	if p.Err() != nil {
-		return m, 0, p.Err()
+	switch {
+	case p.Err() == msgpack.ErrShort && p.Lack() > uint64(maxFrame-len(b)):
+		return m, 0, errLong
+	case p.Err() != nil:
+		return m, len(b) + int(p.Lack()), p.Err()
 	}
 	size = p.At()
 	p = msgpack.Parse(b[:size])
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -484,6 +484,8 @@
 		{"too deep", strings.Repeat("\x91", 100), false},
 		{"too deep behind an id", "\x94\x00\x02\xa4view" + strings.Repeat("\x91", 100), true},
 		{"too long", rpc(2, "view", strings.Repeat("x", maxFrame)), true},
+		{"the claim of 60 MB, of which nothing has come", "\x94\x00\x02\xa4view\x92\x80\xc6\x03\x93\x87\x00", true},
+		{"the claim of four billion items", "\x94\x00\x02\xa4view\xdd\xff\xff\xff\xff", true},
 		{"a length beyond all bounds", "\x94\x00\x02\xdb\xff\xff\xff\xff" + strings.Repeat("x", maxFrame), true},
 		{"an id that is open", rpc(1, "view", ""), false},
 		{"a length that is wrong under an id that is open", "\x94\x00\x01\xc1", false},
@@ -514,7 +516,7 @@
 	}{
 		{"nothing", "", ""},
 		{"half a message", "", "\x94\x00"},
-		{"half a message behind a whole one", rpc(1, "view", "a"), "\x94\x00\x02\xc6\x03\x93\x87\x00x"},
+		{"half a message behind a whole one", rpc(1, "view", "a"), "\x94\x00\x02\xc4\x09x"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
