--- a/cmd/sorrelvalve/main.go
+++ b/cmd/sorrelvalve/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"strings"
 
 	"github.com/alecthomas/kong"
 
@@ -31,6 +32,7 @@
 	}
 	fmt.Printf("ok: %s listens on %s; %d methods, %d customers; %d MB, %d sockets, %g cores\n",
 		p.Name, p.Listen, len(p.Opening.Methods), len(p.Opening.Customers), p.MemoryMB, p.Sockets, p.Cores)
+	fmt.Printf("a running process takes %s anew on SIGHUP\n", strings.Join(opening.Moves, ", "))
 	return nil
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -112,6 +112,24 @@
 		base64.StdEncoding.EncodeToString([]byte(body)))
 }
 
+// A move before there is any engine is not held up by the pause for the address as it was.
+func TestMoveFirst(t *testing.T) {
+	s := start(t, soon)
+	s.ln.Close()
+	s.run("a", "x")
+	var err error
+	if s.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer s.ln.Close()
+	for range 3 {
+		s.link.Move(s.ln.Addr().String())
+	}
+	s.accept(0)
+	s.hello("1")
+	s.reads(s.runs("a", "x"))
+}
+
 // An engine that says nothing any more has lost the link, though that never ended.
 func TestQuiet(t *testing.T) {
 	s := start(t, 50*time.Millisecond)
