One table of connections for all fronts, and the layout that further fronts need

A second front must count against the same limit on descriptors as the routers' one, and the accept loop, the look for idle connections and the choice of who makes room were written into that front. They now stand in internal/front, with the life of one connection beside them; the MessagePack front keeps what is its protocol's own.

--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -20,11 +20,12 @@
 
 	"github.com/sirupsen/logrus"
 
-	"sorrelvalve/internal/engine"
+	"sorrelvalve/internal/back/engine"
+	"sorrelvalve/internal/front"
+	"sorrelvalve/internal/front/mprpc"
 	"sorrelvalve/internal/gate"
 	"sorrelvalve/internal/members"
 	"sorrelvalve/internal/opening"
-	"sorrelvalve/internal/server"
 )
 
 const (
@@ -63,7 +64,7 @@
 	runtime.GOMAXPROCS(int(math.Ceil(p.Cores)))
 	debug.SetMemoryLimit(int64(heapShare * float64(p.MemoryMB) * (1 << 20)))
 	told := *p.Opening
-	if absent := server.Absent(&told); len(absent) > 0 {
+	if absent := mprpc.Absent(&told); len(absent) > 0 {
 		log.WithField("absent", strings.Join(absent, ", ")).Warn("server: not carried by this protocol")
 	}
 	ln, err := net.Listen("tcp", p.Listen)
@@ -80,13 +81,14 @@
 		}
 	})
 	link := engine.New(p.Engine, log, g.Start)
-	srv := server.New(ln.(*net.TCPListener), g, runner(link), p.Sockets, log)
+	table := front.NewTable(p.Sockets, g.Idle, log)
+	srv := mprpc.New(table, g, runner(link), log)
 	up := func() (up, known bool) { return g.Good(), g.Started() }
 	report := members.New(p.Members, p.Name, log, up, g.Changed())
 	go link.Serve(ctx)
 	go report.Serve(ctx)
 	go tick(ctx, g, link)
-	go srv.Serve()
+	table.Listen(ln.(*net.TCPListener), srv.Open)
 	var latest atomic.Pointer[opening.Process]
 	latest.Store(p)
 	go func() {
@@ -112,7 +114,7 @@
 	}()
 	log.WithField("listen", p.Listen).Info("serve: begins")
 	<-stop
-	drain(latest.Load(), g, srv, log)
+	drain(latest.Load(), g, table, log)
 	return nil
 }
 
@@ -126,7 +128,7 @@
 }
 
 // drain goes on as before for the grace, then lets nothing more in and waits for what is in hand.
-func drain(p *opening.Process, g *gate.Gate, srv *server.Server, log *logrus.Entry) {
+func drain(p *opening.Process, g *gate.Gate, table *front.Table, log *logrus.Entry) {
 	began := time.Now()
 	g.Drain(p.Stop)
 	log.WithField("ms", p.Stop.Milliseconds()).Info("drain: begins")
@@ -134,7 +136,7 @@
 	time.Sleep(max(0, min(grace, p.Stop-windup)))
 	ctx, end := context.WithDeadline(context.Background(), began.Add(p.Stop-spare))
 	defer end()
-	srv.Finish(ctx)
+	table.Finish(ctx)
 	log.WithField("ms", time.Since(began).Milliseconds()).WithField("in_hand", g.InHand()).Info("drain: over")
 }
 
@@ -153,7 +155,7 @@
 
 // runner has runs done by the engine. An error that proves that nothing ran is told as such; any other may have
 // had its effect.
-func runner(link *engine.Link) server.Runner {
+func runner(link *engine.Link) mprpc.Runner {
 	return func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
 		link.Run(id, method, body, func(e engine.End) {
 			var failed *engine.Error
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,227 @@
+// Package front keeps what all fronts share: the table of connections, whatever protocol they speak, the loop that
+// accepts them, and who goes when there is no room. The limit on descriptors counts once over all fronts. It must
+// never look at what passes on a connection, nor decide anything about an RPC.
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Conn is one connection of a front.
+type Conn interface {
+	Serve()                                           // reads until the end, and closes
+	Room(now time.Time) (how Readily, last time.Time) // how readily it is given up, and when something last passed
+	Give(last time.Time)                              // closes it unless something has passed since
+	Retire(idle time.Duration)                        // closes it in its protocol's way once it has been idle so long
+	Closing()                                         // no more RPCs are wanted on it
+	Close() error
+}
+
+// Table holds the connections of all fronts.
+type Table struct {
+	idle func() time.Duration
+	log  *logrus.Entry
+
+	slots  chan struct{} // one for each connection that may be open
+	over   atomic.Bool   // no more RPCs are wanted: every connection is told so
+	closed chan struct{} // once nothing is accepted any more
+
+	mu        sync.Mutex
+	listeners []*net.TCPListener
+	accepting int
+	conns     map[Conn]struct{}
+	wg        sync.WaitGroup
+}
+
+const (
+	// reserved descriptors: the listener, the engine, the membership service, the three standard ones and what
+	// the runtime keeps make ten; the rest is for the moments in which a closed one is not yet gone, and for
+	// the listener of a second front.
+	reserved = 24
+	// sweepEvery is how often idle connections are looked for: a tenth of the shortest idle time in use.
+	sweepEvery = 100 * time.Millisecond
+	// roomPause is waited for a connection to make room before the next one is looked for.
+	roomPause = 10 * time.Millisecond
+	// acceptPause follows an error of accept, which would else come again at once.
+	acceptPause = 20 * time.Millisecond
+	// LastAccept is how long connections are still accepted once no more are wanted. The listening socket is
+	// closed right after a look that found none: the machine may have accepted one that we have not yet, and
+	// what is written to that would be lost.
+	LastAccept = 5 * time.Millisecond
+)
+
+// NewTable returns a table for a process that may hold so many descriptors; idle tells how long a connection may
+// carry nothing.
+func NewTable(sockets int, idle func() time.Duration, log *logrus.Entry) *Table {
+	return &Table{
+		idle: idle, log: log, closed: make(chan struct{}),
+		slots: make(chan struct{}, max(8, sockets-reserved)), conns: map[Conn]struct{}{},
+	}
+}
+
+// Over tells whether no more RPCs are wanted.
+func (t *Table) Over() bool { return t.over.Load() }
+
+// Listen adds the listening socket of a front, whose connections are made by open. It does not block. It must not
+// be called after Finish.
+func (t *Table) Listen(ln *net.TCPListener, open func(net.Conn) Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listeners = append(t.listeners, ln)
+	if t.accepting++; t.accepting == 1 {
+		go t.sweep()
+	}
+	go t.accept(ln, open)
+}
+
+func (t *Table) accept(ln *net.TCPListener, open func(net.Conn) Conn) {
+	defer func() {
+		ln.Close()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.accepting--; t.accepting == 0 {
+			close(t.closed)
+		}
+	}()
+	for {
+		t.slot()
+		if t.over.Load() { // one may have waited for its slot: a deadline that is past would pass it over
+			ln.SetDeadline(time.Now().Add(LastAccept))
+		}
+		nc, err := ln.Accept()
+		if err != nil {
+			<-t.slots
+			if errors.Is(err, os.ErrDeadlineExceeded) && t.over.Load() {
+				return
+			}
+			t.log.WithError(err).Warn("server: accept failed")
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := open(nc)
+		t.mu.Lock()
+		t.conns[c] = struct{}{}
+		t.mu.Unlock()
+		t.wg.Add(1)
+		go func() {
+			c.Serve()
+			t.mu.Lock()
+			delete(t.conns, c)
+			t.mu.Unlock()
+			<-t.slots
+			t.wg.Done()
+		}()
+	}
+}
+
+// slot waits for a place for one more connection.
+func (t *Table) slot() {
+	select {
+	case t.slots <- struct{}{}:
+		return
+	default:
+		t.log.WithField("most", cap(t.slots)).Warn("server: connection limit reached")
+	}
+	for {
+		t.MakeRoom()
+		select {
+		case t.slots <- struct{}{}:
+			return
+		case <-time.After(roomPause):
+		}
+	}
+}
+
+// sweep closes connections that have carried nothing for as long as idle says.
+func (t *Table) sweep() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-t.closed:
+			return
+		case <-tick.C:
+		}
+		idle := t.idle()
+		for _, c := range t.All() {
+			c.Retire(idle)
+		}
+	}
+}
+
+// RoomMost is how many connections one look gives up: a crowd comes by hundreds, and a look at each of all
+// connections for each new one took a fifth of the server's time.
+const RoomMost = 16
+
+// MakeRoom gives up the connections that are missed least. Those that were never of use go first, however many: else
+// a crowd of them would keep sound peers out. Without any, it is the one that has been idle for longest.
+func (t *Table) MakeRoom() {
+	var longest Conn
+	var since time.Time
+	given, wait, now := 0, false, time.Now()
+	for _, c := range t.All() {
+		readily, last := c.Room(now)
+		switch {
+		case readily == Useless && given < RoomMost:
+			c.Give(last)
+			given++
+		case readily == Young:
+			wait = true
+		case readily == Idle && (longest == nil || last.Before(since)):
+			longest, since = c, last
+		}
+	}
+	if given == 0 && !wait && longest != nil {
+		longest.Give(since)
+	}
+}
+
+// All is the connections that are open.
+func (t *Table) All() []Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]Conn, 0, len(t.conns))
+	for c := range t.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+// Finish stops accepting, asks for no more RPCs on any connection, waits until all that was read has been
+// answered and the connections are closed, or ctx ends, and closes what is left.
+func (t *Table) Finish(ctx context.Context) {
+	t.over.Store(true)
+	t.mu.Lock()
+	for _, ln := range t.listeners {
+		ln.SetDeadline(time.Now().Add(LastAccept))
+	}
+	none := len(t.listeners) == 0
+	t.mu.Unlock()
+	for _, c := range t.All() {
+		c.Closing()
+	}
+	if !none {
+		select {
+		case <-t.closed:
+		case <-ctx.Done():
+		}
+	}
+	done := make(chan struct{})
+	go func() { t.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+		return
+	case <-ctx.Done():
+	}
+	for _, c := range t.All() {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/front/life.go
@@ -0,0 +1,70 @@
+package front
+
+// This file owns what is known of one connection's life, and from it how readily it is given up. It must never write
+// to the connection: what a protocol says at the end is the front's own.
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Readily is how readily a connection is given up for another.
+type Readily int
+
+const (
+	Busy    Readily = iota // something is open, or may be on its way
+	Idle                   // it has carried RPCs
+	Young                  // its first message may be on its way: that is waited for before any idle one is given up
+	Useless                // never more than silence, nonsense or a check, each of which has a connection of its own
+)
+
+// Crossing is how long a connection without anything open is kept at the limit, as an RPC may be on its way: twice
+// the time in which one that crosses a close is sent again, and enough for a first message.
+const Crossing = 100 * time.Millisecond
+
+// Lingers is how long a connection stays open after its closing notice and its last answer, for its peer to close
+// it; far above the 50 ms in which an RPC may cross the notice.
+const Lingers = 1500 * time.Millisecond
+
+// Life is the life of one connection, to be embedded. Its fields are guarded by Mu.
+type Life struct {
+	net.Conn
+
+	Mu    sync.Mutex
+	Open  int       // RPCs in hand, and answers that are being written
+	Last  time.Time // when something was read or answered
+	Spoke bool      // a whole message has come
+	Used  bool      // and a sound RPC
+	Told  time.Time // when the peer was asked for no more
+	Shut  bool      // closed from here: nothing more is taken, as its peer may send it again
+}
+
+// Room is how readily the connection is given up for another, and when something last came or went on it.
+func (l *Life) Room(now time.Time) (readily Readily, last time.Time) {
+	l.Mu.Lock()
+	defer l.Mu.Unlock()
+	quiet := now.Sub(l.Last) > Crossing
+	switch {
+	case l.Open > 0:
+		return Busy, l.Last
+	case !l.Used && (l.Spoke || quiet):
+		return Useless, l.Last
+	case !l.Used:
+		return Young, l.Last
+	case quiet:
+		return Idle, l.Last
+	}
+	return Busy, l.Last
+}
+
+// Give closes the connection unless something has come on it. What crosses that is sent again: it is not taken here.
+func (l *Life) Give(last time.Time) {
+	l.Mu.Lock()
+	l.Shut = l.Shut || l.Open == 0 && l.Last.Equal(last)
+	shut := l.Shut
+	l.Mu.Unlock()
+	if shut {
+		l.Close()
+	}
+}
--- a/internal/server/conn.go
+++ b/internal/front/mprpc/conn.go
@@ -1,4 +1,4 @@
-package server
+package mprpc
 
 // This file owns one connection: its reader, the goroutines beside it and its writes. It must never let one RPC
 // wait for another, nor end a connection while something that came whole is unanswered.
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"sorrelvalve/internal/front"
 	"sorrelvalve/internal/gate"
 	"sorrelvalve/internal/msgpack"
 )
@@ -31,29 +32,23 @@
 
 // conn is one connection of a router.
 type conn struct {
-	s  *Server
-	nc net.Conn
-	wg sync.WaitGroup // of the goroutines beside the reader
+	front.Life // its Open is the length of open
+	s          *Server
+	wg         sync.WaitGroup // of the goroutines beside the reader
 
-	mu      sync.Mutex
-	open    map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered
-	last    time.Time               // when something was read or answered
-	spoke   bool                    // a whole message has come
-	used    bool                    // and a sound RPC
-	told    time.Time               // when the closing notice went out
-	shut    bool                    // closed from here: nothing more is taken, as its router may send it again
+	open    map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered; guarded by Mu
 	writing sync.Mutex
 	faults  int // messages in a row without a sound RPC; the reader's own
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{s: s, nc: nc, open: map[uint64]*gate.Ticket{}, last: time.Now()}
+	return &conn{Life: front.Life{Conn: nc, Last: time.Now()}, s: s, open: map[uint64]*gate.Ticket{}}
 }
 
-// serve reads until the connection ends, waits for what is in hand, and closes it.
-func (c *conn) serve() {
-	if c.s.over.Load() {
-		c.closing()
+// Serve reads until the connection ends, waits for what is in hand, and closes it.
+func (c *conn) Serve() {
+	if c.s.table.Over() {
+		c.Closing()
 	}
 	err := c.read()
 	var lost *net.OpError
@@ -62,36 +57,36 @@
 	case errors.As(err, &lost):
 		c.leave() // nobody is left to answer
 	case err == errSilent:
-		c.s.log.WithField("peer", c.nc.RemoteAddr()).Info("server: silent connection closed")
+		c.s.log.WithField("peer", c.RemoteAddr()).Info("server: silent connection closed")
 	default:
-		c.s.log.WithField("peer", c.nc.RemoteAddr()).WithError(err).Warn("server: broken frame, connection closed")
+		c.s.log.WithField("peer", c.RemoteAddr()).WithError(err).Warn("server: broken frame, connection closed")
 		c.wg.Wait()
 		c.flush()
 	}
 	c.wg.Wait()
-	c.nc.Close()
+	c.Close()
 }
 
 // flush ends the writing side and reads on for a moment: a close over unread bytes would reset the
 // connection, and take answers with it that the peer has not read yet.
 func (c *conn) flush() {
-	if t, ok := c.nc.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	c.nc.SetReadDeadline(time.Now().Add(flushTime))
-	io.CopyN(io.Discard, c.nc, flushMost)
+	c.SetReadDeadline(time.Now().Add(flushTime))
+	io.CopyN(io.Discard, c.Conn, flushMost)
 }
 
 // leave takes the callers of all that is open as gone.
 func (c *conn) leave() {
-	c.mu.Lock()
+	c.Mu.Lock()
 	tickets := make([]*gate.Ticket, 0, len(c.open))
 	for _, t := range c.open {
 		if t != nil {
 			tickets = append(tickets, t)
 		}
 	}
-	c.mu.Unlock()
+	c.Mu.Unlock()
 	for _, t := range tickets {
 		t.Lost()
 	}
@@ -110,12 +105,12 @@
 			err = errFrame
 		}
 	}()
-	in := bufio.NewReaderSize(c.nc, maxFrame)
+	in := bufio.NewReaderSize(c.Conn, maxFrame)
 	need := 1 // bytes that must be there before another look can find more
 	// A message that has begun must come whole in time, and so must the first: who says nothing, or never
 	// comes to an end, must not keep a descriptor.
 	timed := true
-	c.nc.SetReadDeadline(time.Now().Add(c.s.silence))
+	c.SetReadDeadline(time.Now().Add(c.s.silence))
 	for {
 		_, err := in.Peek(need)
 		b, _ := in.Peek(in.Buffered())
@@ -132,7 +127,7 @@
 		case nil:
 			if timed {
 				timed = false
-				c.nc.SetReadDeadline(time.Time{})
+				c.SetReadDeadline(time.Time{})
 			}
 			if err := c.take(m); err != nil {
 				return err
@@ -146,7 +141,7 @@
 			need = size
 			if !timed {
 				timed = true
-				c.nc.SetReadDeadline(time.Now().Add(c.s.silence))
+				c.SetReadDeadline(time.Now().Add(c.s.silence))
 			}
 		default:
 			c.broken(b, err.Error())
@@ -158,10 +153,10 @@
 // broken answers a call that can't be read, if its id can and is not open.
 func (c *conn) broken(b []byte, why string) {
 	id, ok := numberOf(b)
-	c.mu.Lock()
+	c.Mu.Lock()
 	_, taken := c.open[id]
-	ok = ok && !taken && !c.shut
-	c.mu.Unlock()
+	ok = ok && !taken && !c.Shut
+	c.Mu.Unlock()
 	if ok {
 		c.write(failure(id, "Invalid", why))
 	}
@@ -169,15 +164,16 @@
 
 // take handles one message.
 func (c *conn) take(m message) error {
-	c.mu.Lock()
-	c.last, c.spoke = time.Now(), true
-	shut := c.shut
+	c.Mu.Lock()
+	c.Last, c.Spoke = time.Now(), true
+	shut := c.Shut
 	_, taken := c.open[m.id]
 	full := len(c.open) >= maxOpen
 	if m.kind == typeCall && !taken && !shut && !full {
 		c.open[m.id] = nil // from here on the connection is not idle
+		c.Open = len(c.open)
 	}
-	c.mu.Unlock()
+	c.Mu.Unlock()
 	c.faults++
 	switch {
 	case shut:
@@ -185,9 +181,9 @@
 	case m.kind == typeNotice:
 		if string(m.method) == "cancel" {
 			for _, id := range parseCancel(m.params) {
-				c.mu.Lock()
+				c.Mu.Lock()
 				t := c.open[id]
-				c.mu.Unlock()
+				c.Mu.Unlock()
 				if t != nil {
 					t.Leave()
 					c.faults = 0
@@ -212,7 +208,7 @@
 		t, err = c.s.gate.Enter(rpc)
 	}
 	if err != nil {
-		c.s.log.WithField("peer", c.nc.RemoteAddr()).WithError(err).Warn("server: senseless RPC")
+		c.s.log.WithField("peer", c.RemoteAddr()).WithError(err).Warn("server: senseless RPC")
 		c.write(failure(m.id, "Invalid", err.Error()))
 		c.done(m.id)
 		return nil
@@ -224,17 +220,19 @@
 
 // done frees a message id that has been answered.
 func (c *conn) done(id uint64) {
-	c.mu.Lock()
+	c.Mu.Lock()
 	delete(c.open, id)
-	c.last = time.Now()
-	c.mu.Unlock()
+	c.Open = len(c.open)
+	c.Last = time.Now()
+	c.Mu.Unlock()
 }
 
 // beside does what answers an RPC in a goroutine of its own.
 func (c *conn) beside(id uint64, t *gate.Ticket, do func()) {
-	c.mu.Lock()
-	c.open[id], c.used = t, true
-	c.mu.Unlock()
+	c.Mu.Lock()
+	c.open[id], c.Used = t, true
+	c.Open = len(c.open)
+	c.Mu.Unlock()
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
@@ -275,72 +273,39 @@
 func (c *conn) write(parts ...[]byte) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+	c.SetWriteDeadline(time.Now().Add(writeTime))
 	b := net.Buffers(parts)
-	if _, err := b.WriteTo(c.nc); err != nil {
-		c.nc.Close()
+	if _, err := b.WriteTo(c.Conn); err != nil {
+		c.Close()
 		c.leave()
 	}
 }
 
-// closing asks the router for no more RPCs here.
-func (c *conn) closing() {
-	c.mu.Lock()
-	told := !c.told.IsZero()
+// Closing asks the router for no more RPCs here.
+func (c *conn) Closing() {
+	c.Mu.Lock()
+	told := !c.Told.IsZero()
 	if !told {
-		c.told = time.Now()
+		c.Told = time.Now()
 	}
-	c.mu.Unlock()
+	c.Mu.Unlock()
 	if !told {
 		go c.write(closingNotice()) // a caller that reads slowly must not hold up the one who asks
 	}
 }
 
-// crossing is how long a connection without anything open is kept at the limit, as an RPC may be on its way: twice
-// the time in which one that crosses a close is sent again, and enough for a first message.
-const crossing = 100 * time.Millisecond
-
-// room is how readily the connection is given up for another, and when something last came or went on it.
-func (c *conn) room(now time.Time) (readily int, last time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	quiet := now.Sub(c.last) > crossing
-	switch {
-	case len(c.open) > 0:
-		return busy, c.last
-	case !c.used && (c.spoke || quiet):
-		return useless, c.last
-	case !c.used:
-		return young, c.last
-	case quiet:
-		return idle, c.last
-	}
-	return busy, c.last
-}
-
-// give closes the connection unless something has come on it. What crosses that is sent again: it is not taken here.
-func (c *conn) give(last time.Time) {
-	c.mu.Lock()
-	c.shut = c.shut || len(c.open) == 0 && c.last.Equal(last)
-	shut := c.shut
-	c.mu.Unlock()
-	if shut {
-		c.nc.Close()
-	}
-}
-
-// retire closes a connection that has carried nothing for so long: first it is told, then its router closes
+// Retire closes a connection that has carried nothing for so long: first it is told, then its router closes
 // it, and if that does not come it is closed from here.
-func (c *conn) retire(idle time.Duration) {
-	c.mu.Lock()
-	quiet, told := time.Since(c.last), c.told
-	c.shut = c.shut || len(c.open) == 0 && !told.IsZero() && quiet > lingers && time.Since(told) > lingers
-	ask, shut := len(c.open) == 0 && told.IsZero() && quiet > idle, c.shut
-	c.mu.Unlock()
+func (c *conn) Retire(idle time.Duration) {
+	c.Mu.Lock()
+	quiet, told := time.Since(c.Last), c.Told
+	c.Shut = c.Shut || len(c.open) == 0 && !told.IsZero() && quiet > front.Lingers && time.Since(told) > front.Lingers
+	ask, shut := len(c.open) == 0 && told.IsZero() && quiet > idle, c.Shut
+	c.Mu.Unlock()
 	if ask {
-		c.closing()
+		c.Closing()
 	}
 	if shut {
-		c.nc.Close()
+		c.Close()
 	}
 }
--- a/internal/server/message.go
+++ b/internal/front/mprpc/message.go
@@ -1,4 +1,4 @@
-package server
+package mprpc
 
 // This file owns the messages of the routers' protocol: it takes them apart in place and makes the answers. It must
 // never touch a socket, nor take a length or a number on trust.
--- /dev/null
+++ b/internal/front/mprpc/server.go
@@ -0,0 +1,60 @@
+// Package mprpc speaks MessagePack-RPC with the routers: one goroutine a connection that always goes on reading, and
+// one beside it for each RPC in hand, which waits for the verdicts of the gate, has the work run and writes the
+// answer. A fault on a connection ends there. This package must never decide what is taken or run, and never let a
+// caller that reads slowly hold up another.
+package mprpc
+
+import (
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/front"
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/opening"
+)
+
+// Runner has the work of an RPC run and calls done once with what became of it.
+type Runner func(id, method string, body []byte, done func(how gate.Outcome, spent float64, result []byte))
+
+// Server is the front on one table of connections.
+type Server struct {
+	gate  *gate.Gate
+	run   Runner
+	table *front.Table
+	log   *logrus.Entry
+
+	silence time.Duration // a first message, and the rest of one that has begun, must come within this
+}
+
+// silence is well above the stalls of machines, and well under the 3 s after which a connection that says
+// nothing should be gone.
+const silence = 2 * time.Second
+
+// New returns the front. Its connections are to be made by Open.
+func New(table *front.Table, g *gate.Gate, run Runner, log *logrus.Entry) *Server {
+	return &Server{gate: g, run: run, table: table, log: log, silence: silence}
+}
+
+// Open takes a connection that has just been accepted.
+func (s *Server) Open(nc net.Conn) front.Conn { return newConn(s, nc) }
+
+// Absent takes out of o what the protocol of the routers and of the engine can't carry, so that no decision is
+// built on it, and names it.
+func Absent(o *opening.Opening) (names []string) {
+	if o.Below.Share > 0 {
+		o.Below, names = control.Below{}, append(names, "calls below")
+	}
+	if o.Node.Stop != control.StopNone {
+		o.Node.Stop, names = control.StopNone, append(names, "stopping of runs")
+	}
+	if o.Fleet.Say != control.SayNone {
+		o.Fleet.Say, names = control.SayNone, append(names, "a value for callers")
+	}
+	if o.Fleet.TellsTime {
+		o.Fleet.TellsTime, names = false, append(names, "the time that a caller waits")
+	}
+	return names
+}
--- a/internal/server/server_test.go
+++ b/internal/front/mprpc/server_test.go
@@ -1,4 +1,4 @@
-package server
+package mprpc
 
 import (
 	"context"
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sorrelvalve/control"
+	"sorrelvalve/internal/front"
 	"sorrelvalve/internal/gate"
 	"sorrelvalve/internal/msgpack"
 	"sorrelvalve/internal/opening"
@@ -25,12 +26,13 @@
 // rig is a server whose runs end when the test says so, with one connection to it.
 type rig struct {
 	*testing.T
-	s    *Server
-	g    *gate.Gate
-	addr string
-	conn net.Conn
-	buf  []byte
-	runs chan running
+	s     *Server
+	table *front.Table
+	g     *gate.Gate
+	addr  string
+	conn  net.Conn
+	buf   []byte
+	runs  chan running
 }
 
 type running struct {
@@ -54,20 +56,22 @@
 	r := &rig{T: t, addr: ln.Addr().String(), runs: make(chan running, 1000)}
 	r.g = gate.New(o, 64, func(string, string) {})
 	r.g.Start(false, 0)
-	r.s = New(ln.(*net.TCPListener), r.g, func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
+	entry := log.WithField("node", "n0")
+	r.table = front.NewTable(sockets, r.g.Idle, entry)
+	r.s = New(r.table, r.g, func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
 		if string(body) == "panic" {
 			panic("the runner")
 		}
 		r.runs <- running{id, method, string(body), done}
-	}, sockets, log.WithField("node", "n0"))
+	}, entry)
 	for _, r.s.silence = range patience {
 	}
-	go r.s.Serve()
+	r.table.Listen(ln.(*net.TCPListener), r.s.Open)
 	t.Cleanup(func() {
 		ctx, end := context.WithTimeout(context.Background(), time.Second)
 		defer end()
 		r.conn.Close()
-		r.s.Finish(ctx)
+		r.table.Finish(ctx)
 	})
 	r.conn = r.dial()
 	return r
@@ -370,12 +374,13 @@
 				runtime.Gosched()
 			}
 			open := func() (n int) {
-				for _, c := range r.s.all() {
-					c.mu.Lock()
-					if c.nc.RemoteAddr().String() == gone.LocalAddr().String() {
+				for _, c := range r.table.All() {
+					c := c.(*conn)
+					c.Mu.Lock()
+					if c.RemoteAddr().String() == gone.LocalAddr().String() {
 						n = len(c.open)
 					}
-					c.mu.Unlock()
+					c.Mu.Unlock()
 				}
 				return n
 			}
@@ -421,20 +426,21 @@
 		{"an idle connection is told, and closed", func(r *rig) {
 			r.says(health)
 			r.expect("99 health true")
-			for _, c := range r.s.all() {
-				c.mu.Lock()
-				c.last = c.last.Add(-time.Hour)
-				c.mu.Unlock()
+			for _, c := range r.table.All() {
+				c := c.(*conn)
+				c.Mu.Lock()
+				c.Last = c.Last.Add(-time.Hour)
+				c.Mu.Unlock()
 			}
 			r.expect("closing", "")
 		}},
 		{"what crosses a close from here is not run, as it is sent again", func(r *rig) {
 			r.says(health)
 			r.expect("99 health true")
-			c := r.s.all()[0]
-			c.mu.Lock()
-			c.shut = true
-			c.mu.Unlock()
+			c := r.table.All()[0].(*conn)
+			c.Mu.Lock()
+			c.Shut = true
+			c.Mu.Unlock()
 			r.says(rpc(1, "view", "a"))
 			r.expect("")
 			if n := r.g.InHand(); n != 0 {
@@ -447,7 +453,7 @@
 			ctx, end := context.WithTimeout(context.Background(), soon)
 			defer end()
 			over := make(chan struct{})
-			go func() { r.s.Finish(ctx); close(over) }()
+			go func() { r.table.Finish(ctx); close(over) }()
 			r.expect("closing")
 			r.says(rpc(2, "view", "b")) // it crosses the notice
 			run.done(gate.Succeeded, 1, []byte("r"))
@@ -556,7 +562,7 @@
 			r.says(rpc(1, "view", "b"))
 			r.end("b")
 			r.expect("1 ok r-b")
-			if gone := time.Since(began); gone > 100/7*2*crossing+soon/10 {
+			if gone := time.Since(began); gone > 100/7*2*front.Crossing+soon/10 {
 				t.Errorf("kept out for %v", gone)
 			}
 			r.conn, r.buf = sound, nil
@@ -574,14 +580,14 @@
 	r.end("a")
 	r.expect("1 ok r-a")
 	sound := r.conn
-	for range roomMost + 5 {
+	for range front.RoomMost + 5 {
 		r.conn = r.dial()
 		r.says("\x94\x00\x63\xa6health\x91\x80")
 		r.expect("99 health true")
 	}
 	for range 2 {
-		left := len(r.s.all()) - roomMost
-		for r.s.makeRoom(); len(r.s.all()) > max(1, left); {
+		left := len(r.table.All()) - front.RoomMost
+		for r.table.MakeRoom(); len(r.table.All()) > max(1, left); {
 			runtime.Gosched() // until they have ended
 		}
 	}
@@ -618,9 +624,9 @@
 	}
 	ctx, end := context.WithTimeout(context.Background(), soon)
 	defer end()
-	go r.s.Finish(ctx)
+	go r.table.Finish(ctx)
 	go func() {
-		time.Sleep(4 * lastAccept) // the first deadline must be past while eight connections take all places
+		time.Sleep(4 * front.LastAccept) // the first deadline must be past while eight connections take all places
 		for range conns {
 			run := <-r.runs
 			run.done(gate.Succeeded, 1, nil)
