Tokens expire by a timing wheel, and kept results are bounded by bytes

Pools will bring results beyond the engine's 4 KiB, so a kept token now counts for what it takes. One whose result has no room is remembered without it: its repeat hears that it ran and never runs again. A run that found no room below is pushed back with when to return instead of aborted.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -33,6 +33,7 @@
 type Verdict struct {
 	Answer Answer
 	Result []byte  // OK
+	Head   []byte  // OK: what a back put before its result, if anything; as it came
 	Away   float64 // PushedBack: ms that the caller should stay away
 	Last   bool    // PushedBack: the caller should not go elsewhere
 	Why    string  // Aborted
@@ -45,6 +46,7 @@
 	Failed     Outcome = iota // may have had its effect
 	Succeeded                 //
 	NotStarted                // nothing ran
+	Full                      // nothing ran: there was no room for it below, which may pass
 )
 
 // RPC is what a protocol has read.
@@ -73,7 +75,6 @@
 
 	methods   map[string]int
 	customers map[string]int
-	maxTokens int
 
 	mu       sync.Mutex
 	decide   *control.Control // nil until Start
@@ -85,6 +86,8 @@
 	ids      map[string]struct{} // of these, as their protocol has them
 	hash     maphash.Seed
 	tokens   map[string]*token
+	expiries *wheel // of the tokens, by when they are dropped
+	keptKB   float64
 	todo     []control.Event // what the actions of one event brought about
 	draining bool
 	good     bool
@@ -108,29 +111,40 @@
 	final    bool
 }
 
-// token is a try of a tokened RPC that repeats are told of.
+// token is a try of a tokened RPC that repeats are told of. It is of the method, whatever front its tries come by.
 type token struct {
 	id        uint32
+	key       string
 	body      uint64  // hash
 	until     float64 // Unix ms: no try that comes before may run
-	drop      float64 // Unix ms: repeats read late are past their deadline then
+	expiry            // its time: repeats read late are past their deadline then
 	ran, over bool
 	ok        bool
+	large     bool // it ran, and its result is too large to keep
+	head      []byte
 	result    []byte
+	kb        float64 // of these beyond tokenKB
 	joined    []*Ticket
 }
 
-// tokenKB bounds what a kept token takes: a result of up to 4 KB and its entry, rounded up for the allocator.
-const tokenKB = 6
+const (
+	// tokenKB bounds what a kept token takes: a result of up to plainResult and its entry, rounded up for the
+	// allocator. One with a larger result counts for what it takes beyond.
+	tokenKB     = 6
+	plainResult = 4 << 10
+	// keptMost is the largest share of all that may be kept that one result may take: a few large ones must not
+	// keep tokens out.
+	keptMost = 1.0 / 16
+)
 
 // New returns a gate for a server told o. Its table of tokens stays under a quarter of memoryMB.
 func New(o *opening.Opening, memoryMB int, log Log) *Gate {
 	g := &Gate{
 		log: log, now: time.Now, told: o,
 		methods: map[string]int{}, customers: map[string]int{},
-		maxTokens: memoryMB * 1024 / 4 / tokenKB,
-		tickets:   map[uint32]*Ticket{}, ids: map[string]struct{}{}, tokens: map[string]*token{},
+		tickets: map[uint32]*Ticket{}, ids: map[string]struct{}{}, tokens: map[string]*token{},
 		hash:    maphash.MakeSeed(),
+		keptKB:  float64(memoryMB) * 1024 / 4,
 		idle:    ms(o.Fleet.Idle),
 		changed: make(chan struct{}, 1),
 	}
@@ -193,6 +207,9 @@
 	}
 	at := g.now()
 	now := unixMs(at)
+	if g.expiries == nil {
+		g.expiries = newWheel(now)
+	}
 	deadline := g.told.Methods[m].Deadline
 	t := &Ticket{
 		g: g, name: r.ID, method: m, door: math.Min(r.Door, now),
@@ -206,7 +223,7 @@
 			return nil, fmt.Errorf("token: its first try had another body")
 		}
 	}
-	if g.decide == nil || tokened && g.tokens[t.key] == nil && len(g.tokens) >= g.maxTokens {
+	if g.decide == nil || tokened && g.tokens[t.key] == nil && g.keptKB < tokenKB {
 		t.finish(Verdict{Answer: PushedBack})
 		return t, nil
 	}
@@ -271,6 +288,12 @@
 // Report tells what became of a run that a verdict asked for. The verdict that answers it comes by Wait,
 // if the RPC has none yet.
 func (t *Ticket) Report(how Outcome, spent float64, result []byte) {
+	t.ReportHead(how, spent, nil, result)
+}
+
+// ReportHead is Report with what the back put before the result: the head of an HTTP answer, say. It is kept and
+// handed on with the result, and never looked at here.
+func (t *Ticket) ReportHead(how Outcome, spent float64, head, result []byte) {
 	g := t.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -278,24 +301,33 @@
 		return
 	}
 	t.running = false
-	outcome := [...]control.Outcome{control.Error, control.OK, control.Moot}[how]
+	outcome := [...]control.Outcome{control.Error, control.OK, control.Moot, control.Moot}[how]
 	if k := g.tokens[t.key]; k != nil && k.id == t.id {
-		if how == NotStarted {
-			g.forget(t.key, k)
+		if how == NotStarted || how == Full {
+			g.forget(k)
 		} else {
-			k.over, k.ok, k.result = true, how == Succeeded, result
+			g.keep(k, how == Succeeded, head, result)
 			g.settle(k)
 		}
 	}
-	if how == Succeeded {
-		t.finish(Verdict{Answer: OK, Result: result})
-	} else {
+	switch how {
+	case Succeeded:
+		t.finish(Verdict{Answer: OK, Head: head, Result: result})
+	case Full:
+		t.finish(Verdict{Answer: PushedBack, Away: g.Advice(fullAway)})
+	default:
 		t.finish(Verdict{Answer: Aborted, Why: "the run failed"})
 	}
 	g.drop(t)
 	g.handle(g.clock(g.now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
 }
 
+// fullAway is the ms to stay away for one that found no room below: a few run times, in which a place comes free.
+const fullAway = 500.0
+
+// Due is when the answer to the RPC must have been given, in Unix ms. It does not change.
+func (t *Ticket) Due() float64 { return t.due }
+
 // Tick moves the clock on, with the gauges as they stand in the order told, none if they are not known. It returns
 // the time until it should be called next. Ticks that came due in a stall are made up for by one.
 func (g *Gate) Tick(gauges []float64) time.Duration {
@@ -332,11 +364,18 @@
 			g.end(t, control.Reset, Verdict{Answer: Aborted, Why: "overdue"})
 		}
 	}
-	for key, k := range g.tokens {
-		if now > k.drop && (k.over || g.tickets[k.id] == nil) {
-			delete(g.tokens, key)
-		}
+	if g.expiries == nil {
+		return
 	}
+	g.expiries.advance(now, func(e *expiry) {
+		k := e.token
+		if !k.over && g.tickets[k.id] != nil { // its run goes on; it is looked at again soon
+			k.at = now + slotMs
+			g.expiries.add(e)
+			return
+		}
+		g.release(k)
+	})
 }
 
 // Drain tells that the server will be stopped after a while.
@@ -456,7 +495,7 @@
 		g.remember(t, a.Time)
 	case control.Forget:
 		if k := g.tokens[t.key]; k != nil && k.id == t.id && !k.ran {
-			g.forget(t.key, k)
+			g.forget(k)
 		}
 	case control.Join:
 		k := t.joins
@@ -498,15 +537,45 @@
 		if k.ran && t.door < k.until {
 			return
 		}
-		g.forget(t.key, k)
+		g.forget(k)
 	}
 	until := math.Max(unixMs(g.now())+life, t.door+g.told.Methods[t.method].Window+1) // a door has whole ms
-	g.tokens[t.key] = &token{id: t.id, body: t.body, until: until, drop: until + g.told.Methods[t.method].Deadline}
+	k := &token{id: t.id, key: t.key, body: t.body, until: until}
+	k.at, k.token = until+g.told.Methods[t.method].Deadline, k
+	g.tokens[t.key] = k
+	g.expiries.add(&k.expiry)
+	g.keptKB -= tokenKB
+}
+
+// release drops a token and what is kept with it.
+func (g *Gate) release(k *token) {
+	if g.tokens[k.key] != k {
+		return
+	}
+	delete(g.tokens, k.key)
+	g.expiries.remove(&k.expiry)
+	g.keptKB += tokenKB + k.kb
+}
+
+// keep takes the end of a token's run, and its result if there is room for that. A repeat of one whose result is
+// not kept hears that it ran, and never runs.
+func (g *Gate) keep(k *token, ok bool, head, result []byte) {
+	k.over, k.ok = true, ok
+	if more := float64(len(head)+len(result)-plainResult) / 1024; ok && more > 0 {
+		most := keptMost * (g.keptKB + tokenKB*float64(len(g.tokens)))
+		if more > most || more > g.keptKB {
+			k.ok, k.large = false, true
+			return
+		}
+		k.kb = more
+		g.keptKB -= more
+	}
+	k.head, k.result = head, result
 }
 
 // forget drops a token whose try never ran. Those that wait for it end with an error.
-func (g *Gate) forget(key string, k *token) {
-	delete(g.tokens, key)
+func (g *Gate) forget(k *token) {
+	g.release(k)
 	k.over = true
 	g.settle(k)
 }
@@ -516,9 +585,12 @@
 	joined := k.joined
 	k.joined = nil
 	for _, t := range joined {
-		if k.ok {
-			g.ended(t, Verdict{Answer: OK, Result: k.result})
-		} else {
+		switch {
+		case k.ok:
+			g.ended(t, Verdict{Answer: OK, Head: k.head, Result: k.result})
+		case k.large:
+			g.ended(t, Verdict{Answer: Aborted, Why: "the try that it repeats has run; its result was too large to keep"})
+		default:
 			g.ended(t, Verdict{Answer: Aborted, Why: "the try that it repeats failed"})
 		}
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -276,10 +276,46 @@
 		}},
 		{"the table is full", func(w *world, first *Ticket) {
 			first.Report(Succeeded, 10, nil)
-			w.maxTokens = 1
+			w.keptKB = tokenKB - 1
 			w.expect(w.enter("buy", "other"), PushedBack)
 			w.expect(w.enter("buy", "k"), OK)
 		}},
+		{"a result too large to keep: its own caller gets it, a repeat hears that it ran", func(w *world, first *Ticket) {
+			late := w.enter("buy", "k")
+			first.ReportHead(Succeeded, 10, []byte("head"), make([]byte, 4<<20))
+			if v := w.expect(first, OK); len(v.Result) != 4<<20 || string(v.Head) != "head" {
+				w.Errorf("%d bytes, head %q", len(v.Result), v.Head)
+			}
+			for _, t := range []*Ticket{late, w.enter("buy", "k")} {
+				if v := w.expect(t, Aborted); !strings.Contains(v.Why, "too large") {
+					w.Errorf("why %q", v.Why)
+				}
+			}
+		}},
+		{"larger results count for what they take, and give it back", func(w *world, first *Ticket) {
+			before := w.keptKB
+			first.ReportHead(Succeeded, 10, []byte("head"), make([]byte, 100<<10))
+			w.expect(first, OK)
+			if took := before - w.keptKB; took < 90 || took > 100 {
+				w.Errorf("took %g KB", took)
+			}
+			if v := w.expect(w.enter("buy", "k"), OK); len(v.Result) != 100<<10 || string(v.Head) != "head" {
+				w.Errorf("repeat got %d bytes, head %q", len(v.Result), v.Head)
+			}
+			w.pass(12 * time.Second)
+			if w.keptKB != before+tokenKB || len(w.tokens) != 0 {
+				w.Errorf("%g KB left of %g, %d tokens", w.keptKB, before+tokenKB, len(w.tokens))
+			}
+		}},
+		{"no room below: pushed back, its token is free", func(w *world, first *Ticket) {
+			late := w.enter("buy", "k")
+			first.Report(Full, 0, nil)
+			if v := w.expect(first, PushedBack); v.Away <= 0 {
+				w.Errorf("away %g", v.Away)
+			}
+			w.expect(late, Aborted)
+			w.expect(w.enter("buy", "k"), Run)
+		}},
 		{"the module asks for a second run", func(w *world, first *Ticket) {
 			a := w.enter("buy", "other")
 			w.expect(a, Run)
