uwsgi's wire format, and routes that make RPCs of its messages

Precedence is the rule's own: reversing the file changes nothing, checked against a plain look at all rules. Check names rules that can never fit, that tie, or that name what the settings lack, and tokened methods without a token.

--- /dev/null
+++ b/choose/route/route_test.go
@@ -0,0 +1,292 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+type vars map[string]string
+
+func (v vars) Get(name string) (string, bool) { s, has := v[name]; return s, has }
+
+// plain is what the index is measured and checked against: all rules that fit, by precedence.
+type plain struct{ rules []Rule }
+
+func (p plain) match(m *Message) int {
+	best := -1
+	for i := range p.rules {
+		if p.fits(i, m) && (best < 0 || p.before(i, best, m)) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p plain) fits(i int, m *Message) bool {
+	r := &p.rules[i]
+	if r.Host != "" && r.Host != m.Host && !(strings.HasPrefix(r.Host, "*.") && strings.HasSuffix(m.Host, r.Host[1:]) && len(m.Host) > len(r.Host)-1) {
+		return false
+	}
+	want, got := split(r.Path), split(m.Path)
+	for k, s := range want {
+		if s == "*" && k == len(want)-1 {
+			if len(got) <= k || len(got) == k+1 && got[k] == "" {
+				return false
+			}
+			got = got[:len(want)]
+			break
+		}
+		if _, is := paramName(s); k >= len(got) || is && got[k] == "" || !is && s != got[k] {
+			return false
+		}
+	}
+	return len(want) == len(got) && (r.Verb == "" || r.Verb == m.Verb) && holds(r.When, m.Variables)
+}
+
+func (p plain) before(i, k int, m *Message) bool {
+	a, b := &p.rules[i], &p.rules[k]
+	kind := func(h string) int { // an exact host, the longer wildcard, any
+		switch {
+		case h == "":
+			return 0
+		case strings.HasPrefix(h, "*."):
+			return len(h)
+		}
+		return 1 << 20
+	}
+	if kind(a.Host) != kind(b.Host) {
+		return kind(a.Host) > kind(b.Host)
+	}
+	x, y := split(a.Path), split(b.Path)
+	for n := range min(len(x), len(y)) {
+		rank := func(s []string) int {
+			if _, is := paramName(s[n]); is {
+				return 1
+			} else if s[n] == "*" && n == len(s)-1 {
+				return 0
+			}
+			return 2
+		}
+		if rank(x) != rank(y) {
+			return rank(x) > rank(y)
+		}
+	}
+	if (a.Verb == "") != (b.Verb == "") {
+		return a.Verb != ""
+	}
+	if len(a.When) != len(b.When) {
+		return len(a.When) > len(b.When)
+	}
+	return a.Name < b.Name
+}
+
+// The index finds what the plain look at all rules finds, whatever order they stand in.
+func TestMatchAsPlain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []string{"", "a.net", "x.a.net", "*.a.net", "*.net", "*.x.a.net"}
+		segments := []string{"a", "b", "{p}", "{q}"}
+		var rules []Rule
+		for i := range rapid.IntRange(1, 25).Draw(t, "rules") {
+			path := ""
+			for range rapid.IntRange(1, 4).Draw(t, "depth") {
+				path += "/" + rapid.SampledFrom(segments).Draw(t, "segment")
+			}
+			path += rapid.SampledFrom([]string{"", "", "/", "/*"}).Draw(t, "end")
+			r := Rule{Name: fmt.Sprint(i), Host: rapid.SampledFrom(hosts).Draw(t, "host"), Path: path,
+				Verb: rapid.SampledFrom([]string{"", "GET", "POST"}).Draw(t, "verb"), Method: "view"}
+			for range rapid.IntRange(0, 2).Draw(t, "conditions") {
+				r.When = append(r.When, Condition{rapid.SampledFrom([]string{"X", "Y"}).Draw(t, "variable"),
+					rapid.SampledFrom([]string{"1", "2"}).Draw(t, "value")})
+			}
+			rules = append(rules, r)
+		}
+		table := New(rules)
+		back := slices.Clone(rules)
+		slices.Reverse(back)
+		reversed := New(back)
+		for range 20 {
+			path := ""
+			for range rapid.IntRange(1, 5).Draw(t, "depth of m") {
+				path += "/" + rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "segment of m")
+			}
+			path += rapid.SampledFrom([]string{"", "/"}).Draw(t, "end of m")
+			m := &Message{Host: rapid.SampledFrom([]string{"a.net", "x.a.net", "y.x.a.net", "b.net", ""}).Draw(t, "host of m"), Path: path,
+				Verb: rapid.SampledFrom([]string{"GET", "POST", "PUT"}).Draw(t, "verb of m"), Variables: vars{"X": "1", "Y": "2"}}
+			want := plain{rules}.match(m)
+			if got := table.Match(m); got != want {
+				t.Fatalf("%+v: rule %d, want %d of %+v", m, got, want, rules)
+			}
+			if got := reversed.Match(m); got != want && got != len(rules)-1-want {
+				t.Fatalf("%+v: the order in the file counts: %d, want %d", m, len(rules)-1-got, want)
+			}
+		}
+	})
+}
+
+func TestFind(t *testing.T) {
+	table := New([]Rule{
+		{Name: "buy", Path: "/accounts/{id}/topup", Verb: "POST", Method: "topup-buy", Customer: Source{Variable: "PROVIDER", Names: map[string]string{"kw": "kaipara"}},
+			Caller: Source{Variable: "REMOTE_ADDR"}, Token: Source{Variable: "HTTP_IDEMPOTENCY_KEY"}, Retry: Source{Query: "again"}, Hint: Source{Variable: "WORK_MS"}},
+		{Name: "view", Path: "/accounts/{id}/*", Method: "account-view", Subject: Source{Segment: "id"}, Customer: Source{Fixed: "kaipara"}},
+	})
+	cases := []struct {
+		name, verb, path, query string
+		vars                    vars
+		want                    string
+		err                     error
+		key                     string // of a ValueError
+	}{
+		{"all of it", "POST", "/accounts/7/topup", "a=b&again=1", vars{"PROVIDER": "kw", "HTTP_IDEMPOTENCY_KEY": "k", "WORK_MS": "12.5", "REMOTE_ADDR": "::1"}, "topup-buy kaipara k true 12.5", nil, ""},
+		{"the tail, by another verb", "GET", "/accounts/7/topup", "", vars{}, "account-view kaipara  false 0", nil, ""},
+		{"no such path", "GET", "/accounts", "", vars{}, "", ErrNoRoute, ""},
+		{"a customer without a name", "POST", "/accounts/7/topup", "", vars{"PROVIDER": "other"}, "", nil, "customer"},
+		{"a hint that is no number", "POST", "/accounts/7/topup", "", vars{"WORK_MS": "NaN"}, "", nil, "hint"},
+		{"a hint below nothing", "POST", "/accounts/7/topup", "", vars{"WORK_MS": "-1"}, "", nil, "hint"},
+		{"a retry mark of another kind", "POST", "/accounts/7/topup", "again=yes", vars{}, "", nil, "retry"},
+		{"a token too long", "POST", "/accounts/7/topup", "", vars{"HTTP_IDEMPOTENCY_KEY": strings.Repeat("k", 65)}, "", nil, "token"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f, err := table.Find(&Message{Host: "h", Path: c.path, Verb: c.verb, Query: c.query, Variables: c.vars})
+			var bad *ValueError
+			switch {
+			case c.key != "":
+				if !errors.As(err, &bad) || bad.Key != c.key {
+					t.Errorf("error %v, want one of %s", err, c.key)
+				}
+			case c.err != nil:
+				if !errors.Is(err, c.err) {
+					t.Errorf("error %v, want %v", err, c.err)
+				}
+			default:
+				if got := fmt.Sprint(f.Method, " ", f.Customer, " ", f.Token, " ", f.Retry, " ", f.Hint); err != nil || got != c.want {
+					t.Errorf("found %q, error %v", got, err)
+				}
+			}
+		})
+	}
+	buy := New([]Rule{{Name: "buy", Path: "/buy", Verb: "POST", Method: "m"}, {Name: "put", Path: "/{x}", Verb: "PUT", Method: "m"}})
+	m := &Message{Path: "/buy", Verb: "GET", Variables: vars{}}
+	if _, err := buy.Find(m); !errors.Is(err, ErrVerb) || fmt.Sprint(buy.Verbs(m)) != "[POST PUT]" {
+		t.Errorf("error %v, verbs %v", err, buy.Verbs(m))
+	}
+}
+
+func TestCheck(t *testing.T) {
+	known := Known{Methods: []string{"view", "buy"}, Tokened: map[string]bool{"buy": true}, Customers: []string{"acme"}}
+	sound := Rule{Name: "a", Path: "/a", Method: "view", Customer: Source{Fixed: "acme"}}
+	with := func(change func(*Rule)) []Rule { r := sound; change(&r); return []Rule{r} }
+	second := func(change func(*Rule)) []Rule { r := sound; r.Name = "b"; change(&r); return []Rule{sound, r} }
+	var verbs []Rule
+	for _, v := range Verbs {
+		r := sound
+		r.Name, r.Verb = v, v
+		verbs = append(verbs, r)
+	}
+	cases := []struct {
+		name  string
+		rules []Rule
+		want  string // "" for none
+	}{
+		{"sound", []Rule{sound}, ""},
+		{"no name", with(func(r *Rule) { r.Name = "" }), "name: a name expected"},
+		{"a name twice", second(func(r *Rule) { r.Name, r.Path = "a", "/b" }), "name: \"a\" is the name of route 1"},
+		{"a host with a port", with(func(r *Rule) { r.Host = "a.net:80" }), "host: can never match"},
+		{"a host in capitals", with(func(r *Rule) { r.Host = "A.net" }), "host: can never match"},
+		{"a star within a host", with(func(r *Rule) { r.Host = "a.*.net" }), "host: can never match"},
+		{"no path", with(func(r *Rule) { r.Path = "" }), "path: can never match"},
+		{"a path with a query", with(func(r *Rule) { r.Path = "/a?b" }), "path: can never match"},
+		{"an empty segment", with(func(r *Rule) { r.Path = "/a//b" }), "path: can never match"},
+		{"a star before the end", with(func(r *Rule) { r.Path = "/a/*/b" }), "path: can never match"},
+		{"a parameter twice", with(func(r *Rule) { r.Path = "/{x}/{x}" }), "path: the parameter {x} stands twice"},
+		{"half a parameter", with(func(r *Rule) { r.Path = "/a{x}" }), "path: a segment is literal"},
+		{"a verb that no front takes", with(func(r *Rule) { r.Verb = "TRACE" }), "verb: can never match"},
+		{"a verb in small letters", with(func(r *Rule) { r.Verb = "get" }), "verb: can never match"},
+		{"conditions against one another", with(func(r *Rule) { r.When = []Condition{{"X", "1"}, {"X", "2"}} }), "when[1].value: can never match"},
+		{"a condition against the verb", with(func(r *Rule) { r.Verb, r.When = "GET", []Condition{{"REQUEST_METHOD", "PUT"}} }), "when[0].value: can never match"},
+		{"a condition against the path", with(func(r *Rule) { r.When = []Condition{{"PATH_INFO", "/b"}} }), "when[0].value: can never match"},
+		{"a condition against the host", with(func(r *Rule) { r.Host, r.When = "a.net", []Condition{{"HTTP_HOST", "b.net"}} }), "when[0].value: can never match"},
+		{"a condition with the host", with(func(r *Rule) { r.Host, r.When = "a.net", []Condition{{"HTTP_HOST", "a.net:80"}} }), ""},
+		{"an unknown method", with(func(r *Rule) { r.Method = "sell" }), "method: \"sell\" is no method"},
+		{"an unknown customer", with(func(r *Rule) { r.Customer.Fixed = "other" }), "customer: \"other\" is no customer"},
+		{"an unknown customer by name", with(func(r *Rule) { r.Customer = Source{Variable: "X", Names: map[string]string{"x": "other"}} }), "customer: \"other\" is no customer"},
+		{"no customer", with(func(r *Rule) { r.Customer = Source{} }), "customer: the settings have customers"},
+		{"tokened without a token", with(func(r *Rule) { r.Method = "buy" }), "token: buy is tokened"},
+		{"one token for all", with(func(r *Rule) { r.Method, r.Token.Fixed = "buy", "k" }), "token.fixed: "},
+		{"two sources", with(func(r *Rule) { r.Subject = Source{Variable: "X", Query: "y"} }), "subject: one of"},
+		{"a parameter that is not there", with(func(r *Rule) { r.Subject.Segment = "id" }), "subject.segment: the path has no parameter"},
+		{"names of a fixed value", with(func(r *Rule) { r.Hint = Source{Fixed: "1", Names: map[string]string{}} }), "hint.names: "},
+		{"two that tie", second(func(*Rule) {}), "path: ties with route \"a\""},
+		{"two that tie but for the names of parameters", []Rule{{Name: "a", Path: "/{x}", Method: "view", Customer: sound.Customer}, {Name: "b", Path: "/{y}", Method: "view", Customer: sound.Customer}}, "path: ties"},
+		{"two that tie by other conditions", second(func(r *Rule) { r.When = []Condition{{"Y", "1"}} })[1:], ""},
+		{"conditions that can both hold", append(second(func(r *Rule) { r.When = []Condition{{"Y", "1"}} })[1:], Rule{Name: "c", Path: "/a", Method: "view", Customer: sound.Customer, When: []Condition{{"X", "1"}}}), "path: ties with route \"b\""},
+		{"conditions that can't", append(second(func(r *Rule) { r.When = []Condition{{"X", "2"}} })[1:], Rule{Name: "c", Path: "/a", Method: "view", Customer: sound.Customer, When: []Condition{{"X", "1"}}}), ""},
+		{"more conditions than another", second(func(r *Rule) { r.When = []Condition{{"Y", "1"}} }), ""},
+		{"any verb where each has its own", append(verbs, sound), "verb: can never match: each verb"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			faults := Check(c.rules, known)
+			if c.want == "" && len(faults) > 0 {
+				t.Fatalf("faults %+v", faults)
+			}
+			for _, f := range faults {
+				if strings.HasPrefix(f.Key+": "+f.Text, c.want) {
+					return
+				}
+			}
+			if c.want != "" {
+				t.Errorf("faults %+v, want %s", faults, c.want)
+			}
+		})
+	}
+}
+
+// The index beside a plain look at all rules in the order of precedence.
+func BenchmarkMatch(b *testing.B) {
+	for _, n := range []int{10, 1000, 10000} {
+		chance := rand.New(rand.NewSource(1))
+		var rules []Rule
+		for i := range n {
+			path := fmt.Sprintf("/service%d/%s/item%d", i%97, []string{"{id}", "all"}[i%2], i)
+			rules = append(rules, Rule{Name: fmt.Sprint(i), Host: []string{"", "a.net", "*.b.net"}[i%3], Path: path, Verb: []string{"GET", "POST", ""}[i%3]})
+		}
+		chance.Shuffle(n, func(i, k int) { rules[i], rules[k] = rules[k], rules[i] })
+		messages := make([]Message, 256)
+		for k := range messages {
+			i := chance.Intn(n + n/10 + 1) // some fit nothing
+			messages[k] = Message{Host: []string{"c.org", "a.net", "x.b.net"}[i%3], Path: fmt.Sprintf("/service%d/%s/item%d", i%97, []string{"77", "all"}[i%2], i),
+				Verb: []string{"GET", "POST", "PUT"}[i%3], Variables: vars{}}
+		}
+		byRank := slices.Clone(rules)
+		slices.SortStableFunc(byRank, func(x, y Rule) int {
+			p := plain{[]Rule{x, y}}
+			if p.before(0, 1, nil) {
+				return -1
+			}
+			return 1
+		})
+		table, scan := New(rules), plain{byRank}
+		b.Run(fmt.Sprintf("trie/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for k := 0; b.Loop(); k++ {
+				table.Match(&messages[k%len(messages)])
+			}
+		})
+		b.Run(fmt.Sprintf("scan/%d", n), func(b *testing.B) {
+			for k := 0; b.Loop(); k++ {
+				for i := range scan.rules {
+					if scan.fits(i, &messages[k%len(messages)]) {
+						break
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/uwsgi/uwsgi_test.go
@@ -0,0 +1,123 @@
+package uwsgi
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func block(pairs ...string) string {
+	var b []byte
+	for i := 0; i < len(pairs); i += 2 {
+		b = AppendVariable(b, pairs[i], pairs[i+1])
+	}
+	return string(b)
+}
+
+func TestVariables(t *testing.T) {
+	cases := []struct {
+		name, block string
+		want        error
+	}{
+		{"none", "", nil},
+		{"some, one of them empty", block("REQUEST_METHOD", "GET", "CONTENT_LENGTH", "", "PATH_INFO", "/a"), nil},
+		{"twice with one value", block("PATH_INFO", "/a", "PATH_INFO", "/a"), nil},
+		{"a header line twice", block("HTTP_COOKIE", "a", "HTTP_COOKIE", "b", "PATH_INFO", "/a"), nil},
+		{"twice with two values", block("PATH_INFO", "/a", "PATH_INFO", "/b"), ErrDuplicate},
+		{"two lengths", block("CONTENT_LENGTH", "1", "CONTENT_LENGTH", "2"), ErrDuplicate},
+		{"two hosts", block("HTTP_HOST", "a", "HTTP_HOST", "b"), ErrDuplicate},
+		{"no name", block("", "x"), ErrNoName},
+		{"a length beyond the block", block("A", "x") + "\x05\x00ab", ErrSize},
+		{"a name without a value", "\x01\x00A", ErrSize},
+		{"half a length", block("A", "x") + "\x01", ErrSize},
+		{"too many", block("A", "", "B", "", "C", "", "D", ""), ErrMany},
+		{"the longest value", block("A", strings.Repeat("x", MaxBlock)), nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var v Variables
+			if err := v.Parse(c.block, 3); !errors.Is(err, c.want) {
+				t.Fatalf("error %v, want %v", err, c.want)
+			}
+			if c.want == nil && strings.Contains(c.block, "PATH_INFO") {
+				if got, has := v.Get("PATH_INFO"); got != "/a" || !has {
+					t.Errorf("got %q", got)
+				}
+			}
+		})
+	}
+}
+
+func TestParseAnswer(t *testing.T) {
+	cases := []struct {
+		name, in     string
+		status, size int
+		length       int64
+		want         error
+	}{
+		{"plain", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", 200, 38, 3, nil},
+		{"bare newlines, no reason", "HTTP/1.0 404\nA: b\n\n", 404, 19, -1, nil},
+		{"one length twice", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\ncontent-length: 3\r\n\r\n", 200, 57, 3, nil},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", 0, 0, 0, ErrLength},
+		{"a negative length", "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\n", 0, 0, 0, ErrLength},
+		{"a length beyond all bounds", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", 0, 0, 0, ErrLength},
+		{"cut off in the status", "HTTP/1.", 0, 0, 0, ErrShort},
+		{"cut off in a field", "HTTP/1.1 200 OK\r\nConte", 0, 0, 0, ErrShort},
+		{"another version", "HTTP/2 200 OK\r\n\r\n", 0, 0, 0, ErrStatus},
+		{"no status", "HTTP/1.1 abc OK\r\n\r\n", 0, 0, 0, ErrStatus},
+		{"a status of four digits", "HTTP/1.1 2000 OK\r\n\r\n", 0, 0, 0, ErrStatus},
+		{"a status out of range", "HTTP/1.1 999 OK\r\n\r\n", 0, 0, 0, ErrStatus},
+		{"garbage", "\x00\x01\x02", 0, 0, 0, ErrStatus},
+		{"a field without a colon", "HTTP/1.1 200 OK\r\nabc\r\n\r\n", 0, 0, 0, ErrField},
+		{"a folded field", "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n\r\n", 0, 0, 0, ErrField},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, size, err := ParseAnswer([]byte(c.in))
+			if !errors.Is(err, c.want) {
+				t.Fatalf("error %v, want %v", err, c.want)
+			}
+			if err == nil && (a.Status != c.status || size != c.size || a.Length != c.length) {
+				t.Errorf("got %+v of %d bytes", a, size)
+			}
+		})
+	}
+}
+
+func FuzzVariables(f *testing.F) {
+	f.Add(block("REQUEST_METHOD", "GET", "PATH_INFO", "/a"))
+	f.Add("\x01\x00A\xff\xff")
+	f.Fuzz(func(t *testing.T, s string) {
+		var v Variables
+		if v.Parse(s, 64) != nil {
+			return
+		}
+		var b []byte
+		for i := range v.Len() {
+			b = AppendVariable(b, v.pairs[i].name, v.pairs[i].value)
+		}
+		if string(b) != s {
+			t.Errorf("written again as %q", b)
+		}
+	})
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte("HTTP/1.0 500\nA: b\n\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, size, err := ParseAnswer(b)
+		if err != nil {
+			return
+		}
+		if size > len(b) || !bytes.Equal(a.Head, b[:size]) || a.Status < 100 || a.Length < -1 {
+			t.Errorf("got %+v of %d bytes", a, size)
+		}
+		FieldsOf(a.Head, func(name, _ []byte) {
+			if len(name) == 0 {
+				t.Error("a field without a name")
+			}
+		})
+	})
+}
