Members of a pool by two choices, ejection and slow return; further tries on a budget

Work behind several application servers needs a choice of member that a bad one does not draw traffic to, and tries that do not multiply when all are bad. choose/pool takes the less loaded of two members, ejects those that fail, are slow or say nothing, never below a share, and brings them back slowly; choose/retry allows a further try only if nothing can have run or the method is idempotent, in time and within a budget. The engine's errors now carry the same word on how far they came.

--- /dev/null
+++ b/choose/pool/pool_test.go
@@ -0,0 +1,369 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var usual = Rules{Connections: 8, Waiting: 16, Wait: 100, Failures: 3, Outlier: 4, MinShare: 0.5, Eject: 1000, Return: 5000}
+
+func addrs(n int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprint("m", i))
+	}
+	return all
+}
+
+// warmed is a pool of which each member has answered often enough for its latency to tell.
+func warmed(r Rules, n int) *Pool {
+	p := New(r, addrs(n), 1, 0)
+	for _, m := range p.members {
+		for range enough {
+			p.take(0, m)
+			p.End(0, m.id, OK, 20)
+		}
+	}
+	return p
+}
+
+// grab asks until the member is the one named, and gives the others back.
+func grab(t *testing.T, p *Pool, now float64, addr string) int {
+	t.Helper()
+	for range 1000 {
+		id, got := p.Ask(now, 0, nil)
+		if got != Granted {
+			t.Fatalf("no place for %s", addr)
+		}
+		if p.Addr(id) == addr {
+			return id
+		}
+		p.End(now, id, Withdrew, 0)
+	}
+	t.Fatalf("%s is never chosen", addr)
+	return 0
+}
+
+func out(p *Pool, now float64) (n int) {
+	p.Look(now)
+	for _, s := range p.States(now) {
+		if s.Out != Sound {
+			n++
+		}
+	}
+	return n
+}
+
+func TestEjection(t *testing.T) {
+	cases := []struct {
+		name  string
+		rules func(*Rules)
+		do    func(t *testing.T, p *Pool) (now float64)
+		want  Why // of m0
+	}{
+		{"failures in a row", nil, func(t *testing.T, p *Pool) float64 {
+			for range 3 {
+				p.End(10, grab(t, p, 10, "m0"), Failed, 1)
+			}
+			return 10
+		}, Failing},
+		{"failures with an answer between", nil, func(t *testing.T, p *Pool) float64 {
+			for _, how := range []How{Failed, Failed, OK, Failed, Failed} {
+				p.End(10, grab(t, p, 10, "m0"), how, 20)
+			}
+			return 10
+		}, Sound},
+		{"callers that withdraw say nothing", nil, func(t *testing.T, p *Pool) float64 {
+			for range 9 {
+				p.End(10, grab(t, p, 10, "m0"), Withdrew, 1)
+			}
+			return 10
+		}, Sound},
+		{"ten times slower than the rest", nil, func(t *testing.T, p *Pool) float64 {
+			for range 8 {
+				if out(p, 10) == 0 {
+					p.End(10, grab(t, p, 10, "m0"), OK, 200)
+				}
+			}
+			return 10
+		}, Slow},
+		{"all slow alike", nil, func(t *testing.T, p *Pool) float64 {
+			for i := range 40 {
+				p.End(10, grab(t, p, 10, fmt.Sprint("m", i%4)), OK, 20+float64(i)*5)
+			}
+			return 10
+		}, Sound},
+		{"work in hand and no answer", nil, func(t *testing.T, p *Pool) float64 {
+			grab(t, p, 10, "m0")
+			grab(t, p, 10, "m0")
+			return 200
+		}, Silent},
+		{"one long work is no silence", nil, func(t *testing.T, p *Pool) float64 {
+			grab(t, p, 10, "m0")
+			return 200
+		}, Sound},
+		{"checks that fail", func(r *Rules) { r.Check = 100 }, func(t *testing.T, p *Pool) float64 {
+			for now := 0.0; now < 1000; now += 50 {
+				for _, id := range p.Checks(now) {
+					p.Checked(now, id, p.Addr(id) != "m0")
+				}
+			}
+			return 1000
+		}, Checked},
+		{"not below the share that stays", func(r *Rules) { r.MinShare = 1 }, func(t *testing.T, p *Pool) float64 {
+			for range 9 {
+				p.End(10, grab(t, p, 10, "m0"), Failed, 1)
+			}
+			return 10
+		}, Sound},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := usual
+			if c.rules != nil {
+				c.rules(&r)
+			}
+			p := warmed(r, 4)
+			now := c.do(t, p)
+			p.Look(now)
+			if got := p.States(now)[0]; got.Out != c.want {
+				t.Errorf("m0 is %v, want %v", got.Out, c.want)
+			}
+		})
+	}
+}
+
+// A member that returns gets a tenth of its places at first, and all in the time told; ejected again soon, it is out
+// for twice as long.
+func TestReturn(t *testing.T) {
+	p := warmed(usual, 4)
+	fail := func(now float64) {
+		for range 3 {
+			p.End(now, grab(t, p, now, "m0"), Failed, 1)
+		}
+	}
+	fail(0)
+	if out(p, 999) != 1 || out(p, 1000) != 0 {
+		t.Fatal("not back after its ejection")
+	}
+	places := func(now float64) int {
+		n := 0
+		for p.room(now, p.members[0]) {
+			p.take(now, p.members[0])
+			n++
+		}
+		for range n {
+			p.End(now, p.members[0].id, Withdrew, 0)
+		}
+		return n
+	}
+	for _, c := range []struct {
+		at   float64
+		want int
+	}{{1000, 1}, {2000, 2}, {3500, 4}, {6000, 8}, {60000, 8}} {
+		if got := places(c.at); got != c.want {
+			t.Errorf("%d places %g ms after its return, want %d", got, c.at-1000, c.want)
+		}
+	}
+	fail(2000)
+	if out(p, 3999) != 1 || out(p, 4000) != 0 {
+		t.Error("the second ejection is not twice as long")
+	}
+	fail(60000)
+	if out(p, 60999) != 1 || out(p, 61000) != 0 {
+		t.Error("after a calm time it is not a first one again")
+	}
+	if e := p.Events(); len(e) != 6 || e[0].Why != Failing || e[1].Why != Sound {
+		t.Errorf("events %+v", e)
+	}
+}
+
+// All of them bad: with no share that must stay all go, and the wait is told; with one, some are still asked.
+func TestAllBad(t *testing.T) {
+	r := usual
+	r.MinShare = 0
+	p := warmed(r, 3)
+	for i := range 3 {
+		for range 3 {
+			p.End(0, grab(t, p, 0, fmt.Sprint("m", i)), Failed, 1)
+		}
+	}
+	if _, got := p.Ask(1, 1, nil); got != Queued || p.Soonest(1) != 999 {
+		t.Errorf("place %v, soonest %g", got, p.Soonest(1))
+	}
+	if ids := p.Expire(101); len(ids) != 1 || ids[0] != 1 {
+		t.Errorf("expired %v", ids)
+	}
+	if got := p.Look(1000); len(got) != 0 || out(p, 1000) != 0 {
+		t.Errorf("granted %v", got)
+	}
+}
+
+func TestLine(t *testing.T) {
+	r := usual
+	r.Connections, r.Waiting = 1, 2
+	p := New(r, addrs(1), 1, 0)
+	id, _ := p.Ask(0, 1, nil)
+	for n, want := range []Place{Queued, Queued, None} {
+		if _, got := p.Ask(0, uint64(n+2), nil); got != want {
+			t.Errorf("place %v for %d, want %v", got, n, want)
+		}
+	}
+	if !p.Cancel(2) || p.Cancel(2) {
+		t.Error("cancelled twice, or never")
+	}
+	if got := p.End(1, id, OK, 1); len(got) != 1 || got[0].ID != 3 {
+		t.Errorf("granted %v", got)
+	}
+}
+
+// A new set of members: what stays keeps its state, what goes ends when its last RPC has, what comes begins slowly.
+func TestSet(t *testing.T) {
+	p := warmed(usual, 3)
+	old := grab(t, p, 0, "m0")
+	p.Set(0, usual, []string{"m1", "m9"})
+	if p.Addr(old) != "m0" {
+		t.Error("a member in use is forgotten")
+	}
+	for range 50 {
+		id, got := p.Ask(0, 0, nil)
+		if got != Granted || p.Addr(id) == "m0" {
+			t.Fatalf("place %v at %s", got, p.Addr(id))
+		}
+		p.End(0, id, OK, 20)
+	}
+	p.End(0, old, OK, 20)
+	if p.Addr(old) != "" || len(p.States(0)) != 2 || p.States(0)[1].Part != firstPart || p.States(0)[0].Part != 1 {
+		t.Errorf("members %+v", p.States(0))
+	}
+}
+
+func TestAvoid(t *testing.T) {
+	p := warmed(usual, 2)
+	for range 100 {
+		id, got := p.Ask(0, 0, []int{0})
+		if got != Granted || id != 1 {
+			t.Fatalf("place %v at %d", got, id)
+		}
+		p.End(0, id, OK, 20)
+	}
+	if id, got := p.Ask(0, 0, []int{0, 1}); got != Granted {
+		t.Errorf("none at all where all have failed it: %d", id)
+	}
+}
+
+// Whatever comes: no member has more in flight than it has places, the share that must stay stays, who waits is
+// granted once or expires once, and nobody waits while there is room.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := usual
+		r.Connections, r.Waiting = rapid.IntRange(1, 3).Draw(t, "connections"), rapid.IntRange(0, 4).Draw(t, "waiting")
+		r.MinShare = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "share")
+		r.Check = rapid.SampledFrom([]float64{0, 200}).Draw(t, "check")
+		n := rapid.IntRange(1, 5).Draw(t, "members")
+		p := New(r, addrs(n), rapid.Uint64().Draw(t, "seed"), 0)
+		var flying []int
+		waits := map[uint64]bool{}
+		now, next := 0.0, uint64(0)
+		granted := func(all []Grant) {
+			for _, g := range all {
+				if !waits[g.ID] {
+					t.Fatalf("%d is granted and does not wait", g.ID)
+				}
+				delete(waits, g.ID)
+				flying = append(flying, g.Member)
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += rapid.Float64Range(0, 400).Draw(t, "gap")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1, 2:
+				next++
+				id, got := p.Ask(now, next, nil)
+				switch got {
+				case Granted:
+					flying = append(flying, id)
+				case Queued:
+					waits[next] = true
+				}
+			case 3, 4:
+				if len(flying) > 0 {
+					k := rapid.IntRange(0, len(flying)-1).Draw(t, "which")
+					id := flying[k]
+					flying = append(flying[:k], flying[k+1:]...)
+					granted(p.End(now, id, How(rapid.IntRange(0, 2).Draw(t, "how")), rapid.Float64Range(1, 500).Draw(t, "latency")))
+				}
+			case 5:
+				for _, id := range p.Expire(now) {
+					if !waits[id] {
+						t.Fatalf("%d expired and does not wait", id)
+					}
+					delete(waits, id)
+				}
+				for _, id := range p.Checks(now) {
+					p.Checked(now, id, rapid.Bool().Draw(t, "good"))
+				}
+				granted(p.Look(now))
+			case 6:
+				all := addrs(rapid.IntRange(1, 6).Draw(t, "new members"))
+				p.Set(now, r, all)
+			}
+			total, in := 0, 0
+			for _, m := range p.members {
+				if total += m.inFlight; m.inFlight > r.Connections || m.inFlight < 0 {
+					t.Fatalf("%d in flight at %s", m.inFlight, m.addr)
+				}
+				if m.out == Sound && !m.gone {
+					in++
+				}
+			}
+			if total != len(flying) || p.Waiting() != len(waits) || len(waits) > r.Waiting {
+				t.Fatalf("%d in flight of %d, %d waiting of %d", total, len(flying), p.Waiting(), len(waits))
+			}
+			if in == 0 && r.MinShare > 0 {
+				t.Fatal("nobody is left in use")
+			}
+		}
+	})
+}
+
+// One member of five serves at a tenth of the speed: how much of the traffic it still gets, by way of choosing.
+func BenchmarkChoose(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		turn bool
+	}{{"power of two", false}, {"round robin", true}} {
+		b.Run(c.name, func(b *testing.B) {
+			r := usual
+			r.Outlier, r.Failures, r.RoundRobin, r.Connections = 0, 0, c.turn, 64
+			p := New(r, addrs(5), 1, 0)
+			type run struct {
+				member int
+				end    float64
+			}
+			var flying []run
+			chance, now, slow, n := rand.New(rand.NewSource(1)), 0.0, 0.0, 0.0
+			for b.Loop() {
+				now++
+				for k := 0; k < len(flying); k++ {
+					if f := flying[k]; f.end <= now {
+						p.End(now, f.member, OK, 20)
+						flying = append(flying[:k], flying[k+1:]...)
+						k--
+					}
+				}
+				if id, got := p.Ask(now, 0, nil); got == Granted {
+					took := 10 * chance.ExpFloat64()
+					if n++; id == 0 {
+						took *= 10
+						slow++
+					}
+					flying = append(flying, run{id, now + took})
+				}
+			}
+			b.ReportMetric(slow/n, "slow/op")
+		})
+	}
+}
--- a/internal/back/engine/engine.go
+++ b/internal/back/engine/engine.go
@@ -18,35 +18,20 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-)
-
-// Reached is how far the attempt at a run had come when it failed.
-type Reached int
 
-const (
-	NotSent    Reached = iota
-	Sent               // to the engine, which started nothing
-	MayHaveRun         // and may have had its effect
+	"sorrelvalve/choose/retry"
 )
 
-// Error is why a run has no result.
-type Error struct {
-	Reached Reached
-	Why     string
-}
-
-func (e *Error) Error() string { return e.Why }
-
 var (
-	errCrowded     = &Error{NotSent, "too many runs at once"}
-	errUnknown     = &Error{Sent, "not known to the engine"}
-	errNothing     = &Error{Sent, "nothing was started"}
-	errInterrupted = &Error{MayHaveRun, "the run was stopped"}
-	errFailed      = &Error{MayHaveRun, "the run failed"}
-	errResult      = &Error{MayHaveRun, "the result can't be read"}
+	errCrowded     = &retry.Error{Reached: retry.NotSent, Why: "too many runs at once"}
+	errUnknown     = &retry.Error{Reached: retry.Sent, Why: "not known to the engine"}
+	errNothing     = &retry.Error{Reached: retry.Sent, Why: "nothing was started"}
+	errInterrupted = &retry.Error{Reached: retry.MayHaveRun, Why: "the run was stopped"}
+	errFailed      = &retry.Error{Reached: retry.MayHaveRun, Why: "the run failed"}
+	errResult      = &retry.Error{Reached: retry.MayHaveRun, Why: "the result can't be read"}
 )
 
-// End is the end of a run: a result, or an error that is an *Error.
+// End is the end of a run: a result, or an error that is a *retry.Error.
 type End struct {
 	Spent  float64 // ms
 	Result []byte
--- a/internal/back/engine/engine_test.go
+++ b/internal/back/engine/engine_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/choose/retry"
 )
 
 // soon bounds what must come at once; it is long only so that a busy machine fails no test.
@@ -84,7 +86,7 @@
 func (s *stand) run(id, body string) {
 	s.link.Run(id, "m", []byte(body), func(e End) {
 		end := fmt.Sprintf("%s ok %g %s", id, e.Spent, e.Result)
-		if failed, ok := e.Err.(*Error); ok {
+		if failed, ok := e.Err.(*retry.Error); ok {
 			end = fmt.Sprintf("%s error %d", id, failed.Reached)
 		}
 		s.ends <- end
