The operator's file in CUE, checked and compiled by valvectl to a record for the daemon

It writes a record with version and hash, which the daemon reads strictly and checks again against its settings.

--- /dev/null
+++ b/cmd/valvectl/main.go
@@ -0,0 +1,125 @@
+// Command valvectl is the operator's tool: it checks the operator's file and compiles it to the record that the daemon
+// reads. What is too heavy for the daemon is linked here. It must never be needed while a server runs.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"sorrelvalve/choose/route"
+	"sorrelvalve/internal/cuefile"
+	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/operator"
+)
+
+type command struct {
+	Check   checkCmd   `cmd:"" help:"Read an operator's file and tell what is wrong with it, by file, line and key."`
+	Compile compileCmd `cmd:"" help:"Check it and write the record that serve --operator reads."`
+	Show    showCmd    `cmd:"" help:"Tell what a record is: version, hash and what it sets."`
+	Schema  schemaCmd  `cmd:"" help:"Print the schema of the operator's file."`
+}
+
+type source struct {
+	Files    []string `arg:"" type:"existingfile" help:"The operator's file in CUE; several are taken together."`
+	Settings string   `type:"existingfile" help:"The platform's configuration, whose methods and customers the file may name; without it names are not checked."`
+}
+
+func (s *source) read() (*operator.File, error) {
+	var known route.Known
+	if s.Settings != "" {
+		p, err := opening.Load(func(key string) string {
+			return map[string]string{"EDGE_CONFIG": s.Settings}[key]
+		})
+		if err != nil {
+			return nil, err
+		}
+		known = operator.KnownOf(p.Opening)
+	}
+	f, faults := cuefile.Compile(s.Files, known)
+	for _, e := range faults {
+		fmt.Fprintln(os.Stderr, e)
+	}
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("%d wrong", len(faults))
+	}
+	return f, nil
+}
+
+type checkCmd struct{ source }
+
+func (c *checkCmd) Run() error {
+	f, err := c.read()
+	if err != nil {
+		return err
+	}
+	say(f)
+	return nil
+}
+
+type compileCmd struct {
+	source
+	Out string `short:"o" required:"" type:"path" help:"The record to write; it is replaced as a whole."`
+}
+
+func (c *compileCmd) Run() error {
+	f, err := c.read()
+	if err != nil {
+		return err
+	}
+	b, err := operator.Append(f)
+	if err != nil {
+		return err
+	}
+	beside := c.Out + ".new"
+	if err := os.WriteFile(beside, b, 0o644); err != nil {
+		return err
+	}
+	if err := os.Rename(beside, c.Out); err != nil {
+		return err
+	}
+	r, err := operator.Read(b)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: version %s, hash %.12s\n", c.Out, f.Version, r.Hash)
+	return nil
+}
+
+type showCmd struct {
+	Record string `arg:"" type:"existingfile"`
+}
+
+func (c *showCmd) Run() error {
+	b, err := os.ReadFile(c.Record)
+	if err != nil {
+		return err
+	}
+	r, err := operator.Read(b)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Record, err)
+	}
+	fmt.Println("hash", r.Hash)
+	say(&r.File)
+	return nil
+}
+
+type schemaCmd struct{}
+
+func (schemaCmd) Run() error { fmt.Print(cuefile.Schema()); return nil }
+
+func say(f *operator.File) {
+	fmt.Printf("ok: version %s; %d routes, %d pools, %d methods beside the engine's; %d descriptors",
+		f.Version, len(f.Routes), len(f.Pools), len(f.Methods), f.Descriptors())
+	if f.UWSGI != nil {
+		fmt.Printf("; uwsgi on %s", f.UWSGI.Listen)
+	}
+	fmt.Println()
+}
+
+func main() {
+	ctx := kong.Parse(&command{}, kong.Name("valvectl"), kong.UsageOnError(),
+		kong.Description("Checks and compiles the operator's file of sorrelvalve."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/internal/cuefile/schema.cue
@@ -0,0 +1,96 @@
+// The operator's file. All times are milliseconds. What has a star has that default.
+package sorrelvalve
+
+// Which version of the file this is, in the operator's own words.
+version: string & =~"^[^\\n]{1,64}$"
+
+// The front that accepts uwsgi; without it there is none.
+uwsgi?: #UWSGI
+
+// How a message of the web becomes an RPC. The most telling route that fits counts, wherever it stands.
+routes: [string]: #Route
+
+// uwsgi application servers.
+pools: [string]: #Pool
+
+// Methods whose work is done by a pool; that of all others is done by the engine.
+methods: [string]: #Method
+
+#Address: =~"^(\\[[0-9a-fA-F:.]+\\]|[0-9.]+):[0-9]{1,5}$"
+
+#UWSGI: {
+	listen: #Address
+	// Whether a connection stays open after an answer: where its block has VALVE_KEEP=1, always or never.
+	keep: *"asked" | "always" | "never"
+	// Whether a peer that ends its writing side still waits for the answer. Web tiers close both when their
+	// client leaves, so by default it has left.
+	half_close: *false | bool
+	// The longest block of variables, how many these may be, and the longest path with its query.
+	block_bytes: *16384 | int & >=512 & <=65535
+	variables:   *128 | int & >=8 & <=1024
+	path_bytes:  *4096 | int & >=16 & <=65535
+	// The longest body, and what all bodies that are being read or held may take.
+	body_bytes: *65536 | int & >=0 & <=16777216
+	bodies_kb:  *8192 | int & >=1 & <=1048576
+	// A first message, and the rest of a block that has begun, must come within this; a body within body_ms.
+	silence_ms: *2000 | number & >=10 & <=60000
+	body_ms:    *5000 | number & >=10 & <=600000
+	// The memory booked for an RPC while it is held, in KB; its body is added.
+	held_kb: *16 | number & >0 & <=2000
+}
+
+#Source: {
+	names?: [string]: string
+	{fixed: string & !=""} | {variable: string & !=""} | {segment: string & !=""} | {query: string & !=""}
+}
+
+#Route: {
+	host?: string & !=""
+	path:  =~"^/"
+	verb?: "DELETE" | "GET" | "HEAD" | "OPTIONS" | "PATCH" | "POST" | "PUT"
+	when?: [string]: string
+	method: string & !=""
+	// The type of an answer that the engine made.
+	type:      *"application/octet-stream" | string & !=""
+	customer?: #Source
+	caller?:   #Source
+	token?:    #Source
+	subject?:  #Source
+	retry?:    #Source
+	hint?:     #Source
+	door?:     #Source
+}
+
+#Pool: {
+	members: [#Address, ...#Address]
+	// At each member; then how many RPCs may wait for one, over the pool, and for how long.
+	connections: *32 | int & >=1 & <=4096
+	waiting:     *64 | int & >=0 & <=65536
+	wait_ms:     *100 | number & >=0 & <=60000
+	connect_ms:  *250 | number & >=1 & <=60000
+	// The longest body of an answer.
+	answer_bytes: *262144 | int & >=1 & <=16777216
+	// A member is ejected after so many failures in a row, or at so many times the others' latency; 0 for never.
+	failures: *5 | int & >=0 & <=1000
+	outlier:  *4 | number & (0 | >=1.5) & <=1000
+	// The share of members that stay in use whatever they do, the first ejection and the time of the return.
+	min_share: *0.5 | number & >=0 & <=1
+	eject_ms:  *2000 | number & >=1 & <=600000
+	return_ms: *5000 | number & >=0 & <=600000
+	// Between two active checks (a uwsgi ping); 0 for none.
+	check_ms: *0 | number & >=0 & <=600000
+	// Further tries: for each first try, and a second at the least; and the tries of one RPC, the first included.
+	retry: {
+		share: *0.1 | number & >=0 & <=1
+		floor: *1 | number & >=0 & <=1000
+		most:  *3 | int & >=1 & <=10
+	}
+}
+
+#Method: {
+	pool: string & !=""
+	// What an RPC that came without them gets.
+	path: =~"^/"
+	verb: *"POST" | "DELETE" | "GET" | "HEAD" | "OPTIONS" | "PATCH" | "PUT"
+	variables?: [string]: string
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,401 @@
+// Package operator is the operator's file as the daemon reads it: a plain record that valvectl compiled from typed
+// records in CUE, with its version and hash. Reading is strict: a key that is not known, a hash that does not fit or a
+// value out of range is an error that names the key. The package must never apply anything, nor link CUE.
+package operator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sorrelvalve/choose/pool"
+	"sorrelvalve/choose/retry"
+	"sorrelvalve/choose/route"
+	"sorrelvalve/control"
+	"sorrelvalve/internal/opening"
+)
+
+// Format is that of the records which this build reads.
+const Format = 1
+
+// maxRecord bytes bound a record: ten thousand routes take about 4 MB.
+const maxRecord = 16 << 20
+
+// File is all that an operator sets beside the platform's configuration. Times are ms.
+type File struct {
+	Version string            `json:"version"`
+	UWSGI   *UWSGI            `json:"uwsgi,omitempty"`
+	Routes  map[string]Route  `json:"routes,omitempty"`
+	Pools   map[string]Pool   `json:"pools,omitempty"`
+	Methods map[string]Method `json:"methods,omitempty"`
+}
+
+// UWSGI is the front that accepts uwsgi.
+type UWSGI struct {
+	Listen     string  `json:"listen"`
+	Keep       string  `json:"keep"` // asked, always or never
+	HalfClose  bool    `json:"half_close"`
+	BlockBytes int     `json:"block_bytes"`
+	Variables  int     `json:"variables"`
+	PathBytes  int     `json:"path_bytes"`
+	BodyBytes  int     `json:"body_bytes"`
+	BodiesKB   int     `json:"bodies_kb"`
+	SilenceMs  float64 `json:"silence_ms"`
+	BodyMs     float64 `json:"body_ms"`
+	HeldKB     float64 `json:"held_kb"`
+}
+
+// Route says what an RPC is that came by a web protocol.
+type Route struct {
+	Host     string            `json:"host,omitempty"`
+	Path     string            `json:"path"`
+	Verb     string            `json:"verb,omitempty"`
+	When     map[string]string `json:"when,omitempty"`
+	Method   string            `json:"method"`
+	Type     string            `json:"type"`
+	Customer *Source           `json:"customer,omitempty"`
+	Caller   *Source           `json:"caller,omitempty"`
+	Token    *Source           `json:"token,omitempty"`
+	Subject  *Source           `json:"subject,omitempty"`
+	Retry    *Source           `json:"retry,omitempty"`
+	Hint     *Source           `json:"hint,omitempty"`
+	Door     *Source           `json:"door,omitempty"`
+}
+
+// Source is where a value comes from.
+type Source struct {
+	Fixed    string            `json:"fixed,omitempty"`
+	Variable string            `json:"variable,omitempty"`
+	Segment  string            `json:"segment,omitempty"`
+	Query    string            `json:"query,omitempty"`
+	Names    map[string]string `json:"names,omitempty"`
+}
+
+// Pool is a set of uwsgi application servers.
+type Pool struct {
+	Members     []string `json:"members"`
+	Connections int      `json:"connections"`
+	Waiting     int      `json:"waiting"`
+	WaitMs      float64  `json:"wait_ms"`
+	ConnectMs   float64  `json:"connect_ms"`
+	AnswerBytes int      `json:"answer_bytes"`
+	Failures    int      `json:"failures"`
+	Outlier     float64  `json:"outlier"`
+	MinShare    float64  `json:"min_share"`
+	EjectMs     float64  `json:"eject_ms"`
+	ReturnMs    float64  `json:"return_ms"`
+	CheckMs     float64  `json:"check_ms"`
+	Retry       Retry    `json:"retry"`
+	RoundRobin  bool     `json:"-"` // for comparison only: no file can ask for it
+}
+
+// Retry is the budget of further tries in a pool.
+type Retry struct {
+	Share float64 `json:"share"`
+	Floor float64 `json:"floor"` // a second
+	Most  int     `json:"most"`  // tries of one RPC, the first included
+}
+
+// Method says where the work of a method is done, if not by the engine.
+type Method struct {
+	Pool      string            `json:"pool"`
+	Path      string            `json:"path"` // for RPCs that came without one
+	Verb      string            `json:"verb"`
+	Variables map[string]string `json:"variables,omitempty"`
+}
+
+// Record is a file as it was compiled.
+type Record struct {
+	Hash string // of the file's text, 64 hex digits
+	File File
+}
+
+type envelope struct {
+	Format int             `json:"format"`
+	Hash   string          `json:"hash"`
+	File   json.RawMessage `json:"file"`
+}
+
+// Append makes a record of a file that has been checked.
+func Append(f *File) ([]byte, error) {
+	text, err := json.Marshal(f)
+	if err != nil {
+		return nil, err
+	}
+	b, err := json.MarshalIndent(envelope{Format, hashOf(text), text}, "", "  ")
+	return append(b, '\n'), err
+}
+
+// hashOf takes the text without its blanks, so that a record may be laid out as one likes.
+func hashOf(text []byte) string {
+	var plain bytes.Buffer
+	if json.Compact(&plain, text) != nil {
+		return ""
+	}
+	sum := sha256.Sum256(plain.Bytes())
+	return hex.EncodeToString(sum[:])
+}
+
+// Load reads a record and checks it against the settings; errors name the record and the key.
+func Load(path string, o *opening.Opening) (*Record, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, maxRecord+1))
+	if err != nil {
+		return nil, err
+	}
+	r, err := Read(b)
+	if err == nil {
+		err = first(Check(&r.File, KnownOf(o)))
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return r, nil
+}
+
+func first(faults []Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	return errors.New(faults[0].String())
+}
+
+// Read takes a record apart, strictly.
+func Read(b []byte) (*Record, error) {
+	if len(b) > maxRecord {
+		return nil, fmt.Errorf("a record of at most %d bytes expected", maxRecord)
+	}
+	var e envelope
+	if err := strict(b, &e); err != nil {
+		return nil, fmt.Errorf("no record: %w", err)
+	}
+	if e.Format != Format {
+		return nil, fmt.Errorf("format: %d expected, %d there; compile the file with the valvectl of this build", Format, e.Format)
+	}
+	if got := hashOf(e.File); got != e.Hash || got == "" {
+		return nil, errors.New("hash: it is not that of the file in the record; compile it again")
+	}
+	r := &Record{Hash: e.Hash}
+	if err := strict(e.File, &r.File); err != nil {
+		return nil, fmt.Errorf("file: %w", err)
+	}
+	return r, nil
+}
+
+func strict(b []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return fmt.Errorf("one object expected, more there after byte %d", d.InputOffset())
+	}
+	return nil
+}
+
+// Fault is one thing wrong with a file, by the key's path in it.
+type Fault struct{ Path, Text string }
+
+func (f Fault) String() string { return f.Path + ": " + f.Text }
+
+// KnownOf is what routes may name.
+func KnownOf(o *opening.Opening) route.Known {
+	k := route.Known{Tokened: map[string]bool{}}
+	for _, m := range o.Methods {
+		k.Methods = append(k.Methods, m.Name)
+		k.Tokened[m.Name] = m.Repeat == control.Tokened
+	}
+	for _, c := range o.Customers {
+		k.Customers = append(k.Customers, c.Name)
+	}
+	return k
+}
+
+// Check names all that is wrong with a file, in the order of its keys.
+func Check(f *File, known route.Known) (faults []Fault) {
+	bad := func(path, format string, a ...any) {
+		faults = append(faults, Fault{path, fmt.Sprintf(format, a...)})
+	}
+	within := func(path string, v, low, high float64) {
+		if !(v >= low && v <= high) {
+			bad(path, "a number from %g to %g expected, %g there", low, high, v)
+		}
+	}
+	if f.Version == "" || len(f.Version) > 64 {
+		bad("version", "a text of up to 64 bytes expected")
+	}
+	if u := f.UWSGI; u != nil {
+		if !isAddress(u.Listen) {
+			bad("uwsgi.listen", "an IP address and a port, as 10.0.0.4:3031, expected, %.60q there", u.Listen)
+		}
+		if !slices.Contains([]string{"asked", "always", "never"}, u.Keep) {
+			bad("uwsgi.keep", "asked, always or never expected, %.40q there", u.Keep)
+		}
+		within("uwsgi.block_bytes", float64(u.BlockBytes), 512, 65535)
+		within("uwsgi.variables", float64(u.Variables), 8, 1024)
+		within("uwsgi.path_bytes", float64(u.PathBytes), 16, 65535)
+		within("uwsgi.body_bytes", float64(u.BodyBytes), 0, 16<<20)
+		within("uwsgi.bodies_kb", float64(u.BodiesKB), 1, 1<<20)
+		within("uwsgi.silence_ms", u.SilenceMs, 10, 60e3)
+		within("uwsgi.body_ms", u.BodyMs, 10, 600e3)
+		within("uwsgi.held_kb", u.HeldKB, 0.001, 2000)
+		if u.BodyBytes > u.BodiesKB<<10 {
+			bad("uwsgi.bodies_kb", "at least one body of body_bytes must fit")
+		}
+	} else if len(f.Routes) > 0 {
+		bad("routes", "there is no front that they could serve: uwsgi is not set")
+	}
+	names := keys(f.Routes)
+	for _, x := range route.Check(f.Rules(), known) {
+		bad(at("routes", names[x.Rule])+"."+x.Key, "%s", x.Text)
+	}
+	for _, name := range keys(f.Pools) {
+		p, path := f.Pools[name], at("pools", name)
+		if len(p.Members) == 0 || len(p.Members) > maxMembers {
+			bad(path+".members", "1 to %d addresses expected, %d there", maxMembers, len(p.Members))
+		}
+		for i, m := range p.Members {
+			if !isAddress(m) {
+				bad(fmt.Sprintf("%s.members[%d]", path, i), "an IP address and a port expected, %.60q there", m)
+			} else if k := slices.Index(p.Members, m); k < i {
+				bad(fmt.Sprintf("%s.members[%d]", path, i), "%s is member %d already", m, k)
+			}
+		}
+		within(path+".connections", float64(p.Connections), 1, 4096)
+		within(path+".waiting", float64(p.Waiting), 0, 65536)
+		within(path+".wait_ms", p.WaitMs, 0, 60e3)
+		within(path+".connect_ms", p.ConnectMs, 1, 60e3)
+		within(path+".answer_bytes", float64(p.AnswerBytes), 1, 16<<20)
+		within(path+".failures", float64(p.Failures), 0, 1000)
+		if p.Outlier != 0 {
+			within(path+".outlier", p.Outlier, 1.5, 1000)
+		}
+		within(path+".min_share", p.MinShare, 0, 1)
+		within(path+".eject_ms", p.EjectMs, 1, 600e3)
+		within(path+".return_ms", p.ReturnMs, 0, 600e3)
+		within(path+".check_ms", p.CheckMs, 0, 600e3)
+		within(path+".retry.share", p.Retry.Share, 0, 1)
+		within(path+".retry.floor", p.Retry.Floor, 0, 1000)
+		within(path+".retry.most", float64(p.Retry.Most), 1, 10)
+		if !slices.ContainsFunc(keys(f.Methods), func(m string) bool { return f.Methods[m].Pool == name }) {
+			bad(path, "no method has its work done there")
+		}
+	}
+	for _, name := range keys(f.Methods) {
+		m, path := f.Methods[name], at("methods", name)
+		if known.Methods != nil && !slices.Contains(known.Methods, name) {
+			bad(path, "%q is no method of the settings", name)
+		}
+		if _, has := f.Pools[m.Pool]; !has {
+			bad(path+".pool", "%.40q is no pool of this file", m.Pool)
+		}
+		if !strings.HasPrefix(m.Path, "/") {
+			bad(path+".path", "a path that begins with a slash expected, %.40q there", m.Path)
+		}
+		if !slices.Contains(route.Verbs, m.Verb) {
+			bad(path+".verb", "one of %s expected, %.40q there", strings.Join(route.Verbs, ", "), m.Verb)
+		}
+	}
+	return faults
+}
+
+// maxMembers of a pool: each costs a look at every choice.
+const maxMembers = 64
+
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	n, bad := strconv.ParseUint(port, 10, 16)
+	return err == nil && bad == nil && n > 0 && net.ParseIP(host) != nil
+}
+
+func keys[V any](m map[string]V) []string {
+	all := make([]string, 0, len(m))
+	for k := range m {
+		all = append(all, k)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// at is the path of an entry of a table, quoted as CUE reads it.
+func at(table, name string) string { return table + "." + strconv.Quote(name) }
+
+// Rules are the routes for package route, by name.
+func (f *File) Rules() (rules []route.Rule) {
+	for _, name := range keys(f.Routes) {
+		r := f.Routes[name]
+		rule := route.Rule{
+			Name: name, Host: r.Host, Path: r.Path, Verb: r.Verb, Method: r.Method,
+			Customer: r.Customer.source(), Caller: r.Caller.source(), Token: r.Token.source(), Subject: r.Subject.source(),
+			Retry: r.Retry.source(), Hint: r.Hint.source(), Door: r.Door.source(),
+		}
+		for _, v := range keys(r.When) {
+			rule.When = append(rule.When, route.Condition{Variable: v, Value: r.When[v]})
+		}
+		rules = append(rules, rule)
+	}
+	return rules
+}
+
+func (s *Source) source() route.Source {
+	if s == nil {
+		return route.Source{}
+	}
+	return route.Source{Fixed: s.Fixed, Variable: s.Variable, Segment: s.Segment, Query: s.Query, Names: s.Names}
+}
+
+// Rules are the pool's for package pool.
+func (p *Pool) Rules() pool.Rules {
+	return pool.Rules{
+		Connections: p.Connections, Waiting: p.Waiting, Wait: p.WaitMs, Failures: p.Failures, Outlier: p.Outlier,
+		MinShare: p.MinShare, Eject: p.EjectMs, Return: p.ReturnMs, Check: p.CheckMs, RoundRobin: p.RoundRobin,
+	}
+}
+
+// Tries are the rules of the pool's budget.
+func (p *Pool) Tries() retry.Rules {
+	return retry.Rules{Share: p.Retry.Share, Floor: p.Retry.Floor, Most: p.Retry.Most}
+}
+
+// Descriptors is how many the file's parts may take at once, beside the connections of the fronts.
+func (f *File) Descriptors() (n int) {
+	for _, p := range f.Pools {
+		n += len(p.Members) * p.Connections
+		if p.CheckMs > 0 {
+			n += len(p.Members)
+		}
+	}
+	if f.UWSGI != nil {
+		n++
+	}
+	return n
+}
+
+// Stays names the keys in which next differs though a running process can't take them anew.
+func (f *File) Stays(next *File) (all []string) {
+	switch {
+	case (f.UWSGI == nil) != (next.UWSGI == nil):
+		all = append(all, "uwsgi")
+	case f.UWSGI != nil && f.UWSGI.Listen != next.UWSGI.Listen:
+		all = append(all, "uwsgi.listen")
+	}
+	return all
+}
+
+// Ms is a time of the file.
+func Ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,126 @@
+package operator
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sorrelvalve/choose/route"
+	"sorrelvalve/internal/opening"
+)
+
+func sound() *File {
+	return &File{
+		Version: "7",
+		UWSGI: &UWSGI{Listen: "127.0.0.1:3031", Keep: "asked", BlockBytes: 4096, Variables: 64, PathBytes: 1024, BodyBytes: 1024, BodiesKB: 64,
+			SilenceMs: 1000, BodyMs: 1000, HeldKB: 16},
+		Routes: map[string]Route{"view": {Path: "/view", Method: "view", Customer: &Source{Fixed: "acme"}}},
+		Pools: map[string]Pool{"p": {Members: []string{"127.0.0.1:1", "127.0.0.1:2"}, Connections: 4, ConnectMs: 100, AnswerBytes: 4096,
+			EjectMs: 1000, Retry: Retry{0.1, 1, 3}}},
+		Methods: map[string]Method{"view": {Pool: "p", Path: "/view", Verb: "GET"}},
+	}
+}
+
+const settings = "classes.count=2\nclasses.0.name=view\nclasses.1.name=buy\nclasses.1.idempotency=idempotency_key\ncustomers.count=1\ncustomers.0.name=acme\n"
+
+// A record is read strictly, and every error names its key.
+func TestLoad(t *testing.T) {
+	o, err := opening.Parse(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name   string
+		change func(f *File)
+		text   func(s string) string
+		want   string // "" for none
+	}{
+		{"sound", nil, nil, ""},
+		{"laid out anew", nil, func(s string) string { return strings.ReplaceAll(s, `": `, "\" :\n") }, ""},
+		{"blanks alone", nil, func(s string) string { return strings.ReplaceAll(s, "  ", "\t\t") }, ""},
+		{"no record", nil, func(string) string { return "{" }, "no record"},
+		{"another format", nil, func(s string) string { return strings.Replace(s, `"format": 1`, `"format": 2`, 1) }, "format: 1 expected, 2 there"},
+		{"changed by hand", nil, func(s string) string { return strings.Replace(s, `"connections": 4`, `"connections": 5`, 1) }, "hash: "},
+		{"a key of the envelope that is not known", nil, func(s string) string { return strings.Replace(s, `"format"`, `"x":1,"format"`, 1) }, `unknown field "x"`},
+		{"more behind it", nil, func(s string) string { return s + "{}" }, "one object expected"},
+		{"no version", func(f *File) { f.Version = "" }, nil, "version: "},
+		{"an address without a port", func(f *File) { f.UWSGI.Listen = "127.0.0.1" }, nil, "uwsgi.listen: "},
+		{"a body that no budget holds", func(f *File) { f.UWSGI.BodiesKB, f.UWSGI.BodyBytes = 1, 4096 }, nil, "uwsgi.bodies_kb: "},
+		{"not a number", func(f *File) { f.UWSGI.SilenceMs = -1 }, nil, "uwsgi.silence_ms: a number"},
+		{"routes and no front", func(f *File) { f.UWSGI = nil }, nil, "routes: there is no front"},
+		{"an unknown method", func(f *File) { f.Routes["view"] = Route{Path: "/v", Method: "x", Customer: &Source{Fixed: "acme"}} }, nil, `routes."view".method: `},
+		{"a pool without members", func(f *File) { p := f.Pools["p"]; p.Members = nil; f.Pools["p"] = p }, nil, `pools."p".members: `},
+		{"a member by name", func(f *File) { f.Pools["p"].Members[1] = "db:1" }, nil, `pools."p".members[1]: `},
+		{"a pool for nothing", func(f *File) { f.Methods = nil }, nil, `pools."p": no method`},
+		{"a method that is not known", func(f *File) { f.Methods["x"] = f.Methods["view"] }, nil, `methods."x": `},
+		{"a pool that is not there", func(f *File) {
+			f.Methods["buy"], f.Methods["view"] = f.Methods["view"], Method{Pool: "q", Path: "/", Verb: "GET"}
+		}, nil, `methods."view".pool: `},
+		{"no tries", func(f *File) { p := f.Pools["p"]; p.Retry.Most = 0; f.Pools["p"] = p }, nil, `pools."p".retry.most: `},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := sound()
+			if c.change != nil {
+				c.change(f)
+			}
+			b, err := Append(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := string(b)
+			if c.text != nil {
+				s = c.text(s)
+			}
+			path := filepath.Join(t.TempDir(), "record")
+			if err := os.WriteFile(path, []byte(s), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			r, err := Load(path, o)
+			if c.want == "" && (err != nil || r.File.Version != "7") {
+				t.Fatalf("record %+v, error %v", r, err)
+			}
+			if c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+				t.Errorf("error %v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestStays(t *testing.T) {
+	for _, c := range []struct {
+		change func(*File)
+		want   string
+	}{
+		{func(f *File) { f.UWSGI.BodyBytes = 1; f.Routes = nil; f.Pools = nil }, "[]"},
+		{func(f *File) { f.UWSGI.Listen = "127.0.0.1:1" }, "[uwsgi.listen]"},
+		{func(f *File) { f.UWSGI = nil }, "[uwsgi]"},
+	} {
+		next := sound()
+		c.change(next)
+		if got := fmt.Sprint(sound().Stays(next)); got != c.want {
+			t.Errorf("stays %s, want %s", got, c.want)
+		}
+	}
+	if n := sound().Descriptors(); n != 9 {
+		t.Errorf("%d descriptors", n)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	b, _ := Append(sound())
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := Read(b)
+		if err != nil {
+			return
+		}
+		for _, x := range Check(&r.File, route.Known{}) {
+			if x.Path == "" {
+				t.Error("a fault without a key")
+			}
+		}
+	})
+}
