--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -20,12 +20,14 @@
 
 	"github.com/sirupsen/logrus"
 
+	"sorrelvalve/choose/retry"
 	"sorrelvalve/internal/back/engine"
 	"sorrelvalve/internal/front"
 	"sorrelvalve/internal/front/mprpc"
 	"sorrelvalve/internal/gate"
 	"sorrelvalve/internal/members"
 	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/operator"
 )
 
 const (
@@ -42,38 +44,65 @@
 	windup = 240 * time.Millisecond
 )
 
-type serveCmd struct{}
+type serveCmd struct {
+	Operator string `type:"path" placeholder:"RECORD" help:"The operator's record, as valvectl compile wrote it; it is taken anew on SIGHUP with the configuration."`
+	StandIn  bool   `help:"Start a stand-in engine, and callers that ask for more than it can do, within this process, to see the main job run."`
+}
+
+// told is all that a process is told: the platform's configuration and the operator's record, nil if there is none.
+type told struct {
+	*opening.Process
+	op *operator.Record
+}
 
-func (serveCmd) Run() error {
+func (s serveCmd) Run() error {
 	stop, reread := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP) // before all else: unheeded, it would end the process
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	load := func() (*opening.Process, error) { return opening.Load(os.Getenv) }
-	p, err := load()
+	load := func() (t told, err error) {
+		if t.Process, err = opening.Load(os.Getenv); err == nil && s.Operator != "" {
+			t.op, err = operator.Load(s.Operator, t.Opening)
+		}
+		return t, err
+	}
+	if s.StandIn {
+		own, end, err := standIn()
+		if err != nil {
+			return err
+		}
+		defer end()
+		load = own
+	}
+	t, err := load()
 	if err != nil {
 		return err
 	}
-	return serve(p, newLog(os.Stderr).WithField("node", p.Name), stop, reread, load)
+	return serve(t, newLog(os.Stderr).WithField("node", t.Name), stop, reread, load)
 }
 
 // serve runs one server until a signal to stop comes, and drains it. On each value of reread, the drain
 // included, it takes from load what can change in a running process.
-func serve(
-	p *opening.Process, log *logrus.Entry, stop, reread <-chan os.Signal, load func() (*opening.Process, error),
-) error {
+func serve(t told, log *logrus.Entry, stop, reread <-chan os.Signal, load func() (told, error)) error {
+	p := t.Process
 	runtime.GOMAXPROCS(int(math.Ceil(p.Cores)))
 	debug.SetMemoryLimit(int64(heapShare * float64(p.MemoryMB) * (1 << 20)))
-	told := *p.Opening
-	if absent := mprpc.Absent(&told); len(absent) > 0 {
+	settings := *p.Opening
+	if absent := mprpc.Absent(&settings); len(absent) > 0 {
 		log.WithField("absent", strings.Join(absent, ", ")).Warn("server: not carried by this protocol")
 	}
+	sockets := p.Sockets
+	if t.op != nil {
+		if sockets -= t.op.File.Descriptors(); sockets < leastSockets {
+			return fmt.Errorf("operator: the file's parts may take %d descriptors of limits.sockets, %d", t.op.File.Descriptors(), p.Sockets)
+		}
+	}
 	ln, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	g := gate.New(&told, p.MemoryMB, func(text, detail string) {
+	g := gate.New(&settings, p.MemoryMB, func(text, detail string) {
 		if detail == "" {
 			log.Info(text)
 		} else {
@@ -81,16 +110,28 @@
 		}
 	})
 	link := engine.New(p.Engine, log, g.Start)
-	table := front.NewTable(p.Sockets, g.Idle, log)
-	srv := mprpc.New(table, g, runner(link), log)
+	table := front.NewTable(sockets, g.Idle, log)
+	run := engineRunner(link)
+	var more *extras
+	if t.op != nil {
+		if more, err = newExtras(ctx, t, table, g, run, log); err != nil {
+			ln.Close()
+			return err
+		}
+		run = more.run
+	}
+	srv := mprpc.New(table, g, run, log)
 	up := func() (up, known bool) { return g.Good(), g.Started() }
 	report := members.New(p.Members, p.Name, log, up, g.Changed())
 	go link.Serve(ctx)
 	go report.Serve(ctx)
 	go tick(ctx, g, link)
 	table.Listen(ln.(*net.TCPListener), srv.Open)
-	var latest atomic.Pointer[opening.Process]
-	latest.Store(p)
+	if more != nil {
+		more.listen(table)
+	}
+	var latest atomic.Pointer[told]
+	latest.Store(&t)
 	go func() {
 		for {
 			select {
@@ -99,25 +140,40 @@
 			case <-reread:
 			}
 			next, err := load()
+			if err == nil && more != nil {
+				err = more.set(next)
+			}
 			if err != nil {
 				log.WithError(err).Error("reload: the configuration is wrong, the old one stays")
 				continue
 			}
-			if stays := p.Stays(next); len(stays) > 0 {
+			if stays := p.Stays(next.Process); len(stays) > 0 {
 				log.WithField("keys", brief(stays)).Warn("reload: keys that only a new start can change")
 			}
-			latest.Store(next)
+			latest.Store(&next)
 			link.Move(next.Engine)
 			report.Move(ctx, next.Members)
-			log.WithFields(logrus.Fields{"engine": next.Engine, "members": next.Members}).Info("reload: done")
+			done := log.WithFields(logrus.Fields{"engine": next.Engine, "members": next.Members})
+			if next.op != nil {
+				done = done.WithFields(logrus.Fields{"version": next.op.File.Version, "hash": next.op.Hash[:12]})
+			}
+			done.Info("reload: done")
 		}
 	}()
-	log.WithField("listen", p.Listen).Info("serve: begins")
+	begins := log.WithField("listen", p.Listen)
+	if t.op != nil {
+		begins = begins.WithFields(logrus.Fields{"version": t.op.File.Version, "hash": t.op.Hash[:12]})
+	}
+	begins.Info("serve: begins")
 	<-stop
-	drain(latest.Load(), g, table, log)
+	drain(latest.Load().Process, g, table, log)
 	return nil
 }
 
+// leastSockets are left for the fronts beside what the operator's file may take: with the platform's least, 48, a
+// dozen connections.
+const leastSockets = 40
+
 // brief names the first few of many keys.
 func brief(keys []string) string {
 	const most = 8 // as many as fit a line
@@ -153,19 +209,19 @@
 	}
 }
 
-// runner has runs done by the engine. An error that proves that nothing ran is told as such; any other may have
+// engineRunner has runs done by the engine. An error that proves that nothing ran is told as such; any other may have
 // had its effect.
-func runner(link *engine.Link) mprpc.Runner {
-	return func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
-		link.Run(id, method, body, func(e engine.End) {
-			var failed *engine.Error
+func engineRunner(link *engine.Link) gate.Runner {
+	return func(w gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
+		link.Run(w.ID, w.Method, w.Body, func(e engine.End) {
+			var failed *retry.Error
 			switch {
 			case e.Err == nil:
-				done(gate.Succeeded, e.Spent, e.Result)
-			case errors.As(e.Err, &failed) && failed.Reached < engine.MayHaveRun:
-				done(gate.NotStarted, e.Spent, nil)
+				done(gate.Succeeded, e.Spent, nil, e.Result)
+			case errors.As(e.Err, &failed) && failed.Reached < retry.MayHaveRun:
+				done(gate.NotStarted, e.Spent, nil, nil)
 			default:
-				done(gate.Failed, e.Spent, nil)
+				done(gate.Failed, e.Spent, nil, nil)
 			}
 		})
 	}
--- a/cmd/sorrelvalve/serve_test.go
+++ b/cmd/sorrelvalve/serve_test.go
@@ -22,9 +22,9 @@
 
 const soon = 10 * time.Second // bounds what must come at once
 
-// standIn is an engine that ends each run at once with its body as the result, but for bodies that say to wait:
+// answering is an engine that ends each run at once with its body as the result, but for bodies that say to wait:
 // these end when wait is closed.
-func standIn(ln net.Listener, wait <-chan struct{}) {
+func answering(ln net.Listener, wait <-chan struct{}) {
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -102,7 +102,7 @@
 	own := listen(t)
 	addr := own.Addr().String()
 	own.Close()
-	go standIn(w.engine, w.wait)
+	go answering(w.engine, w.wait)
 	text := fmt.Sprintf(`{"name":"n0","listen":"%s","engine":"%s","members":"%s","seed":"1","stop_ms":%d,"settings":{
 		"classes":[{"name":"view","aim":1000000000,"give_up":5000000000}],"rules":{"drain_grace":300000000,"tip_multiple":8},
 		"family_info":{"cores":2,"ram_kb":100000,"below":"shared","call_share":2}}}`,
@@ -110,9 +110,10 @@
 	if err := os.WriteFile(w.file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	load := func() (*opening.Process, error) {
+	load := func() (told, error) {
 		defer func() { w.loaded <- struct{}{} }()
-		return opening.Load(func(key string) string { return map[string]string{"EDGE_CONFIG": w.file}[key] })
+		p, err := opening.Load(func(key string) string { return map[string]string{"EDGE_CONFIG": w.file}[key] })
+		return told{Process: p}, err
 	}
 	p, err := load()
 	<-w.loaded
@@ -245,7 +246,7 @@
 	w.reported("second OUT")
 	next, on := listen(t), make(chan struct{})
 	close(on)
-	go standIn(next, on) // which ends the run that the first one holds
+	go answering(next, on) // which ends the run that the first one holds
 	w.reload(w.engine.Addr().String(), next.Addr().String())
 	for got := []byte(nil); !bytes.Contains(got, []byte("\x94\x01\x01\xc0\x92\xc4\x04wait\x80")); {
 		b := make([]byte, 100)
--- /dev/null
+++ b/cmd/valvelab/main.go
@@ -0,0 +1,68 @@
+// Command valvelab runs this project's experiments on stand-ins, on loopback. Each compares within one run, prints a
+// table and its bars, and fails if one falls short. It must never be needed to run a server.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"sorrelvalve/internal/lab"
+)
+
+// experiment is one of the list.
+type experiment struct {
+	name, about string
+	run         func(lab.Options) (*lab.Report, error)
+}
+
+var experiments = []experiment{
+	{"uwsgi-mixed", "both protocols at 120% of one machine: past the valve, a plain queue, the valve", lab.Mixed},
+	{"pools", "five uwsgi members of which one turns bad and recovers, beside round robin without ejection", lab.Pools},
+}
+
+type command struct {
+	List listCmd `cmd:"" help:"List the experiments."`
+	Run  runCmd  `cmd:"" help:"Run one."`
+}
+
+type listCmd struct{}
+
+func (listCmd) Run() error {
+	for _, e := range experiments {
+		fmt.Printf("%-14s %s\n", e.name, e.about)
+	}
+	return nil
+}
+
+type runCmd struct {
+	Name  string `arg:"" help:"Its name, as list tells it."`
+	Quick bool   `help:"In a short form, within 45 s."`
+	Seed  int64  `default:"1" help:"Of all chance in the load."`
+	Out   string `type:"path" help:"A folder for the table as CSV and the charts as SVG."`
+}
+
+func (c *runCmd) Run() error {
+	for _, e := range experiments {
+		if e.name != c.Name {
+			continue
+		}
+		o := lab.Options{Quick: c.Quick, Seed: c.Seed, Dir: c.Out, Out: os.Stdout}
+		r, err := e.run(o)
+		if err != nil {
+			return err
+		}
+		holds, err := r.Write(o)
+		if err == nil && !holds {
+			err = fmt.Errorf("%s: a bar falls short", c.Name)
+		}
+		return err
+	}
+	return fmt.Errorf("%q is no experiment; valvelab list tells them", c.Name)
+}
+
+func main() {
+	ctx := kong.Parse(&command{}, kong.Name("valvelab"), kong.UsageOnError(), kong.Description("Runs the experiments of sorrelvalve on stand-ins."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/internal/back/pools/pools.go
@@ -0,0 +1,295 @@
+// Package pools has the work of methods done by uwsgi application servers, as the operator's file says. Package
+// choose/pool chooses the member, choose/retry whether an attempt is made again; here is what carries that out: the
+// locks, the clock, the connections. It must never make a second attempt that these have not allowed, and each run that
+// it takes ends exactly once.
+package pools
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/choose/pool"
+	"sorrelvalve/choose/retry"
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/operator"
+)
+
+// Backs are the pools of a file, and the methods that they serve.
+type Backs struct {
+	log  *logrus.Entry
+	seed uint64
+
+	mu      sync.Mutex // of Set
+	pools   map[string]*backs
+	methods atomic.Pointer[map[string]*target]
+}
+
+// target is where the work of a method goes.
+type target struct {
+	pool   *backs
+	method operator.Method
+}
+
+// backs is one pool. Its choices are guarded by mu.
+type backs struct {
+	log *logrus.Entry
+
+	mu      sync.Mutex
+	set     operator.Pool
+	choose  *pool.Pool
+	tries   *retry.Policy
+	waiting map[uint64]chan int // for a member, by id in the line
+	nextID  uint64
+	gone    bool // no longer in the file: what it has in hand ends there
+}
+
+// lookEvery is how often members are looked at beside each RPC's own look: a tenth of the shortest wait in use.
+const lookEvery = 20 * time.Millisecond
+
+// New returns pools that serve nothing yet.
+func New(seed uint64, log *logrus.Entry) *Backs {
+	b := &Backs{log: log, seed: seed, pools: map[string]*backs{}}
+	b.methods.Store(&map[string]*target{})
+	return b
+}
+
+func now() float64 { return float64(time.Now().UnixNano()) / 1e6 }
+
+// Set takes a file that has been checked, as a whole. Pools and members that stay keep their state and what they have
+// in hand; what goes takes nothing new.
+func (b *Backs) Set(f *operator.File) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := now()
+	for name, p := range b.pools {
+		if _, stays := f.Pools[name]; !stays {
+			p.mu.Lock()
+			p.gone = true
+			p.mu.Unlock()
+			delete(b.pools, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.Pools)) {
+		set := f.Pools[name]
+		if p := b.pools[name]; p != nil {
+			p.mu.Lock()
+			p.set = set
+			p.choose.Set(at, set.Rules(), set.Members)
+			p.tries.Set(set.Tries())
+			p.hand(p.choose.Look(at))
+			p.mu.Unlock()
+			continue
+		}
+		b.pools[name] = &backs{
+			log: b.log.WithField("pool", name), set: set, waiting: map[uint64]chan int{},
+			choose: pool.New(set.Rules(), set.Members, b.seed, at), tries: retry.New(set.Tries(), b.seed, at),
+		}
+	}
+	methods := map[string]*target{}
+	for name, m := range f.Methods {
+		methods[name] = &target{b.pools[m.Pool], m}
+	}
+	b.methods.Store(&methods)
+}
+
+// Serves tells whether the work of a method is done here.
+func (b *Backs) Serves(method string) bool { return (*b.methods.Load())[method] != nil }
+
+// Runner has the work of the methods of the file done by their pools, and that of all others by engine. tokened and
+// the like tell which methods may run twice.
+func (b *Backs) Runner(engine gate.Runner, idempotent func(method string) bool) gate.Runner {
+	return func(w gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
+		t := (*b.methods.Load())[w.Method]
+		if t == nil {
+			engine(w, done)
+			return
+		}
+		go t.run(w, idempotent(w.Method), done)
+	}
+}
+
+// Serve looks after the members until ctx ends.
+func (b *Backs) Serve(ctx context.Context) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		b.mu.Lock()
+		all := slices.Collect(maps.Values(b.pools))
+		b.mu.Unlock()
+		for _, p := range all {
+			p.tick()
+		}
+	}
+}
+
+func (p *backs) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := now()
+	p.hand(p.choose.Look(at))
+	for _, id := range p.choose.Checks(at) {
+		addr, limit := p.choose.Addr(id), operator.Ms(p.set.ConnectMs)
+		go func() {
+			good := ping(addr, limit)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.choose.Checked(now(), id, good)
+		}()
+	}
+	p.tell()
+}
+
+// tell logs what happened to members. It is called with the lock held.
+func (p *backs) tell() {
+	for _, e := range p.choose.Events() {
+		if e.Why == pool.Sound {
+			p.log.WithField("member", e.Addr).Info("pool: member returned")
+		} else {
+			p.log.WithFields(logrus.Fields{"member": e.Addr, "why": e.Why, "ms": e.For}).Warn("pool: member ejected")
+		}
+	}
+}
+
+// hand gives members to those that wait. It is called with the lock held.
+func (p *backs) hand(grants []pool.Grant) {
+	for _, g := range grants {
+		p.waiting[g.ID] <- g.Member
+		delete(p.waiting, g.ID)
+	}
+}
+
+// State of a pool, for status and metrics.
+type State struct {
+	Name    string
+	Members []pool.State
+	Waiting int
+	Tries   retry.Counts
+}
+
+// States returns how all pools stand, by name.
+func (b *Backs) States() (all []State) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(b.pools)) {
+		p := b.pools[name]
+		p.mu.Lock()
+		all = append(all, State{name, p.choose.States(now()), p.choose.Waiting(), p.tries.Counts()})
+		p.mu.Unlock()
+	}
+	return all
+}
+
+// run makes attempts until one has a result, or no further one is allowed.
+func (t *target) run(w gate.Work, idempotent bool, done func(gate.Outcome, float64, []byte, []byte)) {
+	began := now()
+	p := t.pool
+	packet, noBody := t.packet(w)
+	f := retry.Failed{Idempotent: idempotent}
+	ran := false // some try may have run
+	p.mu.Lock()
+	p.tries.First(began)
+	p.mu.Unlock()
+	var failed []int
+	for {
+		member, err := p.place(w.Due, failed)
+		var head, body []byte
+		if err == nil {
+			p.mu.Lock()
+			at := now()
+			f.Left, f.Need = w.Due-at, p.choose.Usual()
+			a := attempt{
+				addr: p.choose.Addr(member), connect: operator.Ms(min(p.set.ConnectMs, f.Left)),
+				until: time.Now().Add(operator.Ms(p.tries.Allowance(f))), most: p.set.AnswerBytes, noBody: noBody,
+			}
+			p.mu.Unlock()
+			head, body, err = a.do(packet, w.Body)
+			how := pool.OK
+			if err != nil {
+				how = pool.Failed
+			}
+			p.mu.Lock()
+			end := now()
+			p.hand(p.choose.End(end, member, how, end-at))
+			p.tell()
+			p.mu.Unlock()
+		}
+		if err == nil {
+			done(gate.Succeeded, now()-began, head, body)
+			return
+		}
+		f.Tries++
+		f.Reached, f.Left = err.Reached, w.Due-now()
+		ran = ran || err.Reached >= retry.MayHaveRun
+		if !err.Full {
+			failed = append(failed, member)
+			p.mu.Lock()
+			f.Need = p.choose.Usual()
+			after, again := p.tries.Again(now(), f)
+			p.mu.Unlock()
+			if again {
+				time.Sleep(operator.Ms(after))
+				continue
+			}
+		}
+		p.log.WithField("tries", f.Tries).WithError(err).Warn("pool: no result")
+		if ran {
+			done(gate.Failed, now()-began, nil, nil)
+		} else {
+			done(gate.Full, now()-began, nil, nil)
+		}
+		return
+	}
+}
+
+var (
+	errFull = &retry.Error{Reached: retry.NotSent, Why: "no member has room", Full: true}
+	errGone = &retry.Error{Reached: retry.NotSent, Why: "the pool is no longer in use", Full: true}
+)
+
+// place waits for a member with room, as long as the pool's line and the due time allow.
+func (p *backs) place(due float64, avoid []int) (member int, err *retry.Error) {
+	p.mu.Lock()
+	if p.gone {
+		p.mu.Unlock()
+		return 0, errGone
+	}
+	p.nextID++
+	id := p.nextID
+	member, got := p.choose.Ask(now(), id, avoid)
+	if got != pool.Queued {
+		p.mu.Unlock()
+		if got == pool.None {
+			return 0, errFull
+		}
+		return member, nil
+	}
+	mine := make(chan int, 1)
+	p.waiting[id] = mine
+	wait := operator.Ms(max(0, min(p.set.WaitMs, due-now())))
+	p.mu.Unlock()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case member = <-mine:
+		return member, nil
+	case <-t.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.choose.Cancel(id) {
+		delete(p.waiting, id)
+		return 0, errFull
+	}
+	return <-mine, nil // it was granted meanwhile
+}
--- /dev/null
+++ b/internal/back/pools/pools_test.go
@@ -0,0 +1,355 @@
+package pools
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/operator"
+	"sorrelvalve/internal/stand"
+	wire "sorrelvalve/internal/uwsgi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const soon = 10 * time.Second
+
+// rig is a pool of application servers whose work is quick.
+type rig struct {
+	*testing.T
+	backs *Backs
+	apps  []*stand.App
+	rules *stand.Rules
+	file  *operator.File
+	run   gate.Runner
+}
+
+func start(t *testing.T, members int, change ...func(*operator.Pool)) *rig {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &rig{T: t, rules: stand.NewRules("/buy"), backs: New(1, log.WithField("node", "n0"))}
+	var addrs []string
+	cores := stand.NewCores(64, 0)
+	t.Cleanup(cores.Close)
+	for range members {
+		a, err := stand.NewApp(cores, stand.ByBody, r.rules)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(a.Stop)
+		r.apps = append(r.apps, a)
+		addrs = append(addrs, a.Addr())
+	}
+	p := operator.Pool{Members: addrs, Connections: 8, Waiting: 8, WaitMs: 50, ConnectMs: 200, AnswerBytes: 4096, Failures: 3, Outlier: 4, MinShare: 0,
+		EjectMs: 200, ReturnMs: 100, Retry: operator.Retry{Share: 0.2, Floor: 5, Most: 3}}
+	for _, c := range change {
+		c(&p)
+	}
+	r.file = &operator.File{Version: "t", Pools: map[string]operator.Pool{"p": p}, Methods: map[string]operator.Method{
+		"view": {Pool: "p", Path: "/view", Verb: "GET"}, "buy": {Pool: "p", Path: "/buy", Verb: "POST", Variables: map[string]string{"X": "y"}}}}
+	r.backs.Set(r.file)
+	r.run = r.backs.Runner(func(_ gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
+		done(gate.Succeeded, 1, nil, []byte("engine"))
+	}, func(m string) bool { return m == "view" })
+	ctx, end := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() { defer wg.Done(); r.backs.Serve(ctx) }()
+	t.Cleanup(func() { end(); wg.Wait() })
+	return r
+}
+
+type end struct {
+	how    gate.Outcome
+	status string
+	result string
+}
+
+func (r *rig) begin(method, body string, due time.Duration) <-chan end {
+	over := make(chan end, 2)
+	r.run(gate.Work{ID: "1", Method: method, Body: []byte(body), Due: now() + float64(due.Milliseconds())}, func(how gate.Outcome, _ float64, head, result []byte) {
+		status, _, _ := strings.Cut(string(head), "\r\n")
+		over <- end{how, status, string(result)}
+	})
+	return over
+}
+
+func (r *rig) end(over <-chan end) end {
+	r.Helper()
+	select {
+	case e := <-over:
+		return e
+	case <-time.After(soon):
+		r.Fatal("no end")
+	}
+	return end{}
+}
+
+func (r *rig) do(method, body string) end {
+	r.Helper()
+	return r.end(r.begin(method, body, soon))
+}
+
+func (r *rig) taken() (n int) {
+	for _, a := range r.apps {
+		n += a.Taken()
+	}
+	return n
+}
+
+// One member that fails in each way: what an idempotent RPC and one with an effect come to, and how often at the most
+// their bodies arrive whole. The second member is sound.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		fault   stand.Fault
+		idem    gate.Outcome // what an idempotent one comes to
+		effect  gate.Outcome
+		arrives int // times that the effect's body may arrive whole
+	}{
+		{"sound", stand.Sound, gate.Succeeded, gate.Succeeded, 1},
+		{"accepts and says nothing", stand.Stall, gate.Succeeded, gate.Failed, 1},
+		{"does not even read", stand.Mute, gate.Succeeded, gate.Failed, 0},
+		{"a 500 at once", stand.Fail, gate.Succeeded, gate.Failed, 1},
+		{"half an answer", stand.Half, gate.Succeeded, gate.Failed, 1},
+		{"no length", stand.NoLength, gate.Succeeded, gate.Succeeded, 1},
+		{"a second answer", stand.Second, gate.Succeeded, gate.Succeeded, 1},
+		{"a reset after the body was read", stand.ResetAfter, gate.Succeeded, gate.Failed, 1},
+		{"garbage", stand.Garbage, gate.Succeeded, gate.Failed, 1},
+		{"a transfer coding", stand.Chunked, gate.Succeeded, gate.Failed, 1},
+		{"a head that never ends", stand.Endless, gate.Succeeded, gate.Failed, 1},
+		{"a length beyond all bounds", stand.TooLong, gate.Succeeded, gate.Failed, 1},
+		{"an interim answer", stand.Interim, gate.Succeeded, gate.Succeeded, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, 2, func(p *operator.Pool) { p.Failures = 0 })
+			r.apps[0].Set(c.fault)
+			// Until the bad member has had one of each, which chance makes certain soon; a bad member has no latency, and
+			// so as good a chance as the sound one.
+			for i := range 12 {
+				if e := r.end(r.begin("view", "1", time.Second)); e.how != c.idem {
+					t.Fatalf("idempotent %d: %+v", i, e)
+				}
+			}
+			failed := false
+			for i := range 12 {
+				before := r.taken()
+				e := r.end(r.begin("buy", fmt.Sprint("1 ", i), 300*time.Millisecond))
+				failed = failed || e.how == c.effect
+				if e.how != gate.Succeeded && e.how != c.effect {
+					t.Fatalf("effect %d: %+v", i, e)
+				}
+				if n := r.taken() - before; n > 1 {
+					t.Fatalf("an effect's body arrived whole %d times", n)
+				}
+			}
+			if !failed {
+				t.Error("the bad member was never asked")
+			}
+			if v := r.rules.Verdict(); v.SecondRuns > 0 {
+				t.Errorf("%d second runs", v.SecondRuns)
+			}
+		})
+	}
+}
+
+// A member that is not there has run nothing, so even an effect goes on to another.
+func TestRefused(t *testing.T) {
+	r := start(t, 2, func(p *operator.Pool) { p.Failures = 0 })
+	r.apps[0].Stop()
+	for i := range 20 {
+		if e := r.do("buy", fmt.Sprint("1 ", i)); e.how != gate.Succeeded || e.status != "HTTP/1.1 200 OK" {
+			t.Fatalf("effect %d: %+v", i, e)
+		}
+	}
+	if v := r.rules.Verdict(); v.SecondRuns > 0 {
+		t.Errorf("%d second runs", v.SecondRuns)
+	}
+}
+
+// All members gone: what comes is told that there is no room, in the time of the line; the first that is back serves.
+func TestAllGone(t *testing.T) {
+	r := start(t, 2)
+	for _, a := range r.apps {
+		a.Stop()
+	}
+	for i := range 12 {
+		if e := r.do("buy", fmt.Sprint("1 ", i)); e.how != gate.Full {
+			t.Fatalf("effect %d: %+v", i, e)
+		}
+	}
+	out := 0
+	for _, m := range r.backs.States()[0].Members {
+		if m.Out != 0 {
+			out++
+		}
+	}
+	if out != 2 {
+		t.Errorf("%d members ejected", out)
+	}
+	began := time.Now()
+	if e := r.do("view", "1"); e.how != gate.Full || time.Since(began) > soon/2 {
+		t.Errorf("%+v after %v", e, time.Since(began))
+	}
+	if err := r.apps[1].Start(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(soon); r.do("view", "1").how != gate.Succeeded; {
+		if time.Now().After(end) {
+			t.Fatal("never back")
+		}
+	}
+}
+
+// The bound on connections holds, what is beyond it waits its turn, and what is beyond the line is told at once.
+func TestBounds(t *testing.T) {
+	r := start(t, 1, func(p *operator.Pool) { p.Connections, p.Waiting, p.WaitMs, p.ReturnMs = 2, 2, 5000, 0 })
+	var all []<-chan end
+	for range 10 {
+		all = append(all, r.begin("view", "60", soon))
+	}
+	ok, full := 0, 0
+	for _, over := range all {
+		switch e := r.end(over); e.how {
+		case gate.Succeeded:
+			ok++
+		case gate.Full:
+			full++
+		default:
+			t.Errorf("%+v", e)
+		}
+	}
+	if ok != 4 || full != 6 || r.apps[0].Most() != 2 {
+		t.Errorf("%d ok, %d without room", ok, full)
+	}
+}
+
+// Members are replaced while in use: what is in hand ends where it is, what comes goes to the new ones.
+func TestSet(t *testing.T) {
+	r := start(t, 3)
+	old := r.begin("buy", "300 a", soon)
+	for r.taken() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	first := slices.IndexFunc(r.apps, func(a *stand.App) bool { return a.Taken() > 0 })
+	p := r.file.Pools["p"]
+	p.Members = slices.Delete(slices.Clone(p.Members), first, first+1)
+	next := *r.file
+	next.Pools = map[string]operator.Pool{"p": p}
+	r.backs.Set(&next)
+	for range 20 {
+		if e := r.do("view", "1"); e.how != gate.Succeeded {
+			t.Fatalf("%+v", e)
+		}
+	}
+	if n := r.apps[first].Taken(); n != 1 {
+		t.Errorf("%d went to the member that has left", n)
+	}
+	if e := r.end(old); e.how != gate.Succeeded || e.result != "300 a" {
+		t.Errorf("%+v", e)
+	}
+	r.backs.Set(&operator.File{Version: "none"})
+	if e := r.do("view", "1"); e.result != "engine" || r.backs.Serves("view") {
+		t.Errorf("%+v", e)
+	}
+}
+
+// A file without the pool while RPCs wait in its line: they still end.
+func TestSetWhileWaiting(t *testing.T) {
+	r := start(t, 1, func(p *operator.Pool) { p.Connections, p.ReturnMs, p.WaitMs = 1, 0, 5000 })
+	a, b := r.begin("view", "100", soon), r.begin("view", "1", soon)
+	for r.backs.States()[0].Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.backs.Set(&operator.File{Version: "none"})
+	if x, y := r.end(a), r.end(b); x.how != gate.Succeeded || y.how != gate.Succeeded {
+		t.Errorf("%+v and %+v", x, y)
+	}
+}
+
+// Active checks eject a member that answers none, and let it back.
+func TestChecks(t *testing.T) {
+	r := start(t, 2, func(p *operator.Pool) { p.CheckMs = 20 })
+	out := func() int {
+		return int(r.backs.States()[0].Members[0].Out)
+	}
+	r.apps[0].Set(stand.Stall)
+	for end := time.Now().Add(soon); out() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never ejected")
+		}
+	}
+	r.apps[0].Set(stand.Sound)
+	for end := time.Now().Add(soon); out() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never back")
+		}
+	}
+}
+
+// What an application server is sent.
+func TestPacket(t *testing.T) {
+	own := wire.AppendVariable(wire.AppendVariable(nil, "REQUEST_METHOD", "HEAD"), "PATH_INFO", "/x")
+	long := wire.AppendVariable(own, "PAD", strings.Repeat("x", wire.MaxBlock-len(own)-7))
+	cases := []struct {
+		name   string
+		w      gate.Work
+		want   []string // name, value, ...
+		noBody bool
+	}{
+		{"by MessagePack", gate.Work{ID: "7", Body: []byte("abc")}, []string{"REQUEST_METHOD", "POST", "PATH_INFO", "/buy", "CONTENT_LENGTH", "3", "X", "y", "VALVE_ID", "7"}, false},
+		{"by uwsgi", gate.Work{ID: "7", Variables: string(own)}, []string{"REQUEST_METHOD", "HEAD", "PATH_INFO", "/x", "VALVE_ID", "7"}, true},
+		{"by uwsgi, with no room for more", gate.Work{ID: "7", Variables: string(long)}, []string{"PATH_INFO", "/x", "VALVE_ID", ""}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target := &target{method: operator.Method{Path: "/buy", Verb: "POST", Variables: map[string]string{"X": "y"}}}
+			b, noBody := target.packet(c.w)
+			h := wire.ParseHead(b)
+			var v wire.Variables
+			if err := v.Parse(string(b[wire.HeadSize:]), 100); err != nil || h.Size != len(b)-wire.HeadSize || noBody != c.noBody {
+				t.Fatalf("head %+v of %d bytes, no body %v, error %v", h, len(b), noBody, err)
+			}
+			for i := 0; i < len(c.want); i += 2 {
+				if got, _ := v.Get(c.want[i]); got != c.want[i+1] {
+					t.Errorf("%s is %q, want %q", c.want[i], got, c.want[i+1])
+				}
+			}
+		})
+	}
+}
+
+// A member that resets while the body is still being written: the variables were there, so it may have run.
+func TestReachedInMidBody(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		io.ReadFull(c, make([]byte, 100))
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}()
+	a := attempt{addr: ln.Addr().String(), connect: time.Second, until: time.Now().Add(soon), most: 100}
+	_, _, failed := a.do(make([]byte, 100), make([]byte, 32<<20))
+	if failed == nil || failed.Reached != 2 {
+		t.Errorf("failed %v", failed)
+	}
+}
--- a/internal/front/life.go
+++ b/internal/front/life.go
@@ -4,6 +4,7 @@
 // to the connection: what a protocol says at the end is the front's own.
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -68,3 +69,18 @@
 		l.Close()
 	}
 }
+
+const (
+	flushTime = 200 * time.Millisecond // for a peer to take its last answers
+	flushMost = 1 << 20                // and what it may send meanwhile
+)
+
+// Flush ends the writing side and reads on for a moment: a close over unread bytes would reset the connection, and
+// take answers with it that the peer has not read yet.
+func (l *Life) Flush() {
+	if t, ok := l.Conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	l.SetReadDeadline(time.Now().Add(flushTime))
+	io.CopyN(io.Discard, l.Conn, flushMost)
+}
--- a/internal/front/mprpc/conn.go
+++ b/internal/front/mprpc/conn.go
@@ -20,14 +20,12 @@
 )
 
 const (
-	maxFrame  = 8 << 10                // a body of 2 KiB and fields of some hundred bytes, with room for new ones
-	maxOpen   = 64                     // RPCs on one connection: twice what the protocol says, as answers may be on their way
-	crowded   = 500                    // ms to stay away for one past that: the others are answered by then
-	pointless = 40                     // messages in a row without a sound RPC: more than the cancels that cross answers
-	slowdown  = 20 * time.Millisecond  // before each one after those: fifty a second cost little
-	flushTime = 200 * time.Millisecond // for a peer to take its last answers after a broken frame
-	flushMost = 1 << 20                // and what it may send meanwhile
-	writeTime = 15 * time.Second       // for one answer: past the deadlines told so far, so only a dead caller meets it
+	maxFrame  = 8 << 10               // a body of 2 KiB and fields of some hundred bytes, with room for new ones
+	maxOpen   = 64                    // RPCs on one connection: twice what the protocol says, as answers may be on their way
+	crowded   = 500                   // ms to stay away for one past that: the others are answered by then
+	pointless = 40                    // messages in a row without a sound RPC: more than the cancels that cross answers
+	slowdown  = 20 * time.Millisecond // before each one after those: fifty a second cost little
+	writeTime = 15 * time.Second      // for one answer: past the deadlines told so far, so only a dead caller meets it
 )
 
 // conn is one connection of a router.
@@ -61,22 +59,12 @@
 	default:
 		c.s.log.WithField("peer", c.RemoteAddr()).WithError(err).Warn("server: broken frame, connection closed")
 		c.wg.Wait()
-		c.flush()
+		c.Flush()
 	}
 	c.wg.Wait()
 	c.Close()
 }
 
-// flush ends the writing side and reads on for a moment: a close over unread bytes would reset the
-// connection, and take answers with it that the peer has not read yet.
-func (c *conn) flush() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		t.CloseWrite()
-	}
-	c.SetReadDeadline(time.Now().Add(flushTime))
-	io.CopyN(io.Discard, c.Conn, flushMost)
-}
-
 // leave takes the callers of all that is open as gone.
 func (c *conn) leave() {
 	c.Mu.Lock()
@@ -254,10 +242,10 @@
 	for {
 		switch v := t.Wait(context.Background()); v.Answer {
 		case gate.Run:
-			c.s.run(rpc.ID, rpc.Method, rpc.Body, t.Report)
+			c.s.run(gate.Work{ID: rpc.ID, Method: rpc.Method, Body: rpc.Body, Due: t.Due()}, t.ReportHead)
 			continue
 		case gate.OK:
-			c.write(okHead(id, len(v.Result)), v.Result, okTail())
+			c.write(okHead(id, len(v.Result)), v.Result, okTail(v.Head))
 		case gate.PushedBack:
 			c.write(pushback(id, v.Away, v.Last))
 		case gate.Aborted:
--- a/internal/front/mprpc/message.go
+++ b/internal/front/mprpc/message.go
@@ -8,10 +8,12 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"sorrelvalve/internal/gate"
 	"sorrelvalve/internal/msgpack"
+	"sorrelvalve/internal/uwsgi"
 )
 
 // The types of message on the wire of the routers.
@@ -207,7 +209,27 @@
 	return msgpack.AppendBinHead(b, n)
 }
 
-func okTail() []byte { return msgpack.AppendMap(nil, 0) }
+// okTail ends it. The head of an answer that came from a pool of the web does not cross, but for a status that is not
+// 200 and the type of what is in the body.
+func okTail(head []byte) []byte {
+	if len(head) == 0 {
+		return msgpack.AppendMap(nil, 0)
+	}
+	var fields []string
+	if a, _, err := uwsgi.ParseAnswer(head); err == nil && a.Status != 200 {
+		fields = append(fields, "status", strconv.Itoa(a.Status))
+	}
+	uwsgi.FieldsOf(head, func(name, value []byte) {
+		if strings.EqualFold(string(name), "content-type") && len(fields) < 4 {
+			fields = append(fields, "type", string(value))
+		}
+	})
+	b := msgpack.AppendMap(nil, len(fields)/2)
+	for _, f := range fields {
+		b = msgpack.AppendString(b, f)
+	}
+	return b
+}
 
 // pushback is the answer to an RPC that never ran.
 func pushback(id uint64, away float64, last bool) []byte {
--- a/internal/front/mprpc/server.go
+++ b/internal/front/mprpc/server.go
@@ -16,13 +16,10 @@
 	"sorrelvalve/internal/opening"
 )
 
-// Runner has the work of an RPC run and calls done once with what became of it.
-type Runner func(id, method string, body []byte, done func(how gate.Outcome, spent float64, result []byte))
-
 // Server is the front on one table of connections.
 type Server struct {
 	gate  *gate.Gate
-	run   Runner
+	run   gate.Runner
 	table *front.Table
 	log   *logrus.Entry
 
@@ -34,7 +31,7 @@
 const silence = 2 * time.Second
 
 // New returns the front. Its connections are to be made by Open.
-func New(table *front.Table, g *gate.Gate, run Runner, log *logrus.Entry) *Server {
+func New(table *front.Table, g *gate.Gate, run gate.Runner, log *logrus.Entry) *Server {
 	return &Server{gate: g, run: run, table: table, log: log, silence: silence}
 }
 
--- a/internal/front/mprpc/server_test.go
+++ b/internal/front/mprpc/server_test.go
@@ -1,6 +1,7 @@
 package mprpc
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -58,11 +59,17 @@
 	r.g.Start(false, 0)
 	entry := log.WithField("node", "n0")
 	r.table = front.NewTable(sockets, r.g.Idle, entry)
-	r.s = New(r.table, r.g, func(id, method string, body []byte, done func(gate.Outcome, float64, []byte)) {
-		if string(body) == "panic" {
+	r.s = New(r.table, r.g, func(w gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
+		if string(w.Body) == "panic" {
 			panic("the runner")
 		}
-		r.runs <- running{id, method, string(body), done}
+		r.runs <- running{w.ID, w.Method, string(w.Body), func(how gate.Outcome, spent float64, result []byte) {
+			var head []byte
+			if w.Method == "page" {
+				head, result, _ = bytes.Cut(result, []byte("|"))
+			}
+			done(how, spent, head, result)
+		}}
 	}, entry)
 	for _, r.s.silence = range patience {
 	}
--- /dev/null
+++ b/internal/front/uwsgi/answer.go
@@ -0,0 +1,147 @@
+package uwsgi
+
+// This file owns how a verdict looks on the wire: the one table of statuses, and the heads of answers. It must never
+// change a result, nor let through a field that speaks of the connection it came by.
+
+import (
+	"bytes"
+	"math"
+	"strconv"
+	"strings"
+
+	"sorrelvalve/internal/gate"
+	wire "sorrelvalve/internal/uwsgi"
+)
+
+// The statuses that this server makes itself. An ok answer of a pool bears the pool's own.
+//
+//	ok                                          200
+//	pushed back: it never ran                   503, Retry-After, Valve-Away-Ms; Valve-Last: 1 if others are full, too
+//	aborted as its answer was due               504
+//	aborted for another reason                  500
+//	no sense: verb missing, path, length, token 400
+//	no sense: no route fits                     404
+//	no sense: no route takes the verb           405, Allow
+//	no sense: a body without a length           411
+//	no sense: body too long                     413
+//	no sense: path too long                     414
+//	no sense: block too long, too many in it    431
+var reasons = map[int]string{
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 411: "Length Required",
+	413: "Content Too Large", 414: "URI Too Long", 431: "Request Header Fields Too Large",
+	500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout",
+}
+
+// Fields of our own. Away is the exact advice, as Retry-After knows whole seconds only.
+const (
+	fieldAway = "Valve-Away-Ms"
+	fieldLast = "Valve-Last"
+	fieldWhy  = "Valve-Why"
+)
+
+func statusLine(b []byte, status int) []byte {
+	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10)
+	return append(append(append(b, ' '), reasons[status]...), "\r\n"...)
+}
+
+// endHead adds what each answer ends its head with.
+func endHead(b []byte, length int, keep bool) []byte {
+	b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(length), 10), "\r\n"...)
+	if !keep {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// okHead is the head of an ok answer, and how much of the result goes behind it. One that a pool has put a head
+// before keeps that, less what speaks of the connection.
+func okHead(v *gate.Verdict, verb, kind string, keep bool) (b []byte, body []byte) {
+	b, body = make([]byte, 0, 256), v.Result
+	a, _, err := wire.ParseAnswer(v.Head)
+	if len(v.Head) == 0 || err != nil {
+		b = statusLine(b, 200)
+		b = wire.AppendField(b, "Content-Type", kind)
+		b = endHead(b, len(body), keep)
+	} else {
+		b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(a.Status), 10)
+		b = append(append(append(b, ' '), wire.ReasonOf(a.Head)...), "\r\n"...)
+		wire.FieldsOf(a.Head, func(name, value []byte) {
+			if !ofConnection(name) {
+				b = append(append(append(append(b, name...), ": "...), value...), "\r\n"...)
+			}
+		})
+		switch {
+		case a.NoBody():
+			body = nil
+			if !keep {
+				b = append(b, "Connection: close\r\n"...)
+			}
+			b = append(b, "\r\n"...)
+		case verb == "HEAD" && a.Length >= 0:
+			b = endHead(b, int(a.Length), keep)
+		default:
+			b = endHead(b, len(body), keep)
+		}
+	}
+	if verb == "HEAD" {
+		body = nil
+	}
+	return b, body
+}
+
+// connectionFields are those that hold for one connection only, and the length, which is written anew.
+var connectionFields = []string{"connection", "keep-alive", "proxy-authenticate", "proxy-connection", "te", "trailer",
+	"transfer-encoding", "upgrade", "content-length"}
+
+func ofConnection(name []byte) bool {
+	for _, f := range connectionFields {
+		if len(f) == len(name) && bytes.EqualFold(name, []byte(f)) {
+			return true
+		}
+	}
+	return false
+}
+
+// failHead is the head of an answer without a result: pushed back or aborted.
+func failHead(v *gate.Verdict, keep bool) []byte {
+	status := 500
+	switch {
+	case v.Answer == gate.PushedBack:
+		status = 503
+	case v.Late:
+		status = 504
+	}
+	b := statusLine(make([]byte, 0, 192), status)
+	if v.Answer == gate.PushedBack && v.Away > 0 {
+		seconds := math.Max(1, math.Ceil(v.Away/1000))
+		b = append(strconv.AppendInt(append(b, "Retry-After: "...), int64(seconds), 10), "\r\n"...)
+		b = append(strconv.AppendInt(append(b, fieldAway+": "...), int64(math.Ceil(v.Away)), 10), "\r\n"...)
+	}
+	if v.Last {
+		b = append(b, fieldLast+": 1\r\n"...)
+	}
+	if v.Why != "" {
+		b = wire.AppendField(b, fieldWhy, oneLine(v.Why))
+	}
+	return endHead(b, 0, keep)
+}
+
+// wrongHead is the head of the answer to what makes no sense.
+func wrongHead(w *wrong, keep bool) []byte {
+	b := statusLine(make([]byte, 0, 192), w.status)
+	if len(w.allow) > 0 {
+		b = wire.AppendField(b, "Allow", strings.Join(w.allow, ", "))
+	}
+	b = wire.AppendField(b, fieldWhy, oneLine(w.why))
+	return endHead(b, 0, keep)
+}
+
+// oneLine keeps what a peer wrote, and an error repeats, from ending the field.
+func oneLine(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r > '~' {
+			return '?'
+		}
+		return r
+	}, s)
+}
--- /dev/null
+++ b/internal/front/uwsgi/bench_test.go
@@ -0,0 +1,141 @@
+package uwsgi
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/internal/front"
+	"sorrelvalve/internal/front/mprpc"
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/msgpack"
+	"sorrelvalve/internal/opening"
+	wire "sorrelvalve/internal/uwsgi"
+)
+
+// One RPC after another on one kept connection over loopback, run at once: what each front costs beside the same gate.
+// With -cpu 1 it is RPCs a second on one core, the peer's part included.
+func BenchmarkRPC(b *testing.B) {
+	o, err := opening.Parse("classes.count=1\nclasses.0.name=view\nclasses.0.aim=9000000000\nfamily_info.cores=64\nfamily_info.ram_kb=1000000\nrules.tip_multiple=8\n")
+	if err != nil {
+		b.Fatal(err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := logger.WithField("node", "n0")
+	result := make([]byte, 512)
+	run := func(_ gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
+		done(gate.Succeeded, 1, nil, result)
+	}
+	for _, protocol := range []string{"uwsgi", "msgpack"} {
+		b.Run(protocol, func(b *testing.B) {
+			g := gate.New(o, 64, func(string, string) {})
+			g.Start(false, 0)
+			table := front.NewTable(1024, g.Idle, log)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			open := mprpc.New(table, g, run, log).Open
+			if protocol == "uwsgi" {
+				open = New(table, g, run, file(), 7, log).Open
+			}
+			table.Listen(ln.(*net.TCPListener), open)
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer func() {
+				conn.Close()
+				ctx, end := context.WithTimeout(context.Background(), time.Second)
+				defer end()
+				table.Finish(ctx)
+			}()
+			in := bufio.NewReader(conn)
+			body := make([]byte, 256)
+			page := []byte(post("/view/7", string(body), "VALVE_KEEP", "1", "HTTP_HOST", "portal.example", "REMOTE_ADDR", "10.0.0.1",
+				"SERVER_PROTOCOL", "HTTP/1.1", "HTTP_ACCEPT", "*/*", "HTTP_USER_AGENT", "Mozilla/5.0 (X11; Linux x86_64)"))
+			var frame, answer []byte
+			b.ReportAllocs()
+			for n := uint64(1); b.Loop(); n++ {
+				if protocol == "uwsgi" {
+					if _, err := conn.Write(page); err != nil {
+						b.Fatal(err)
+					}
+					size := 0
+					for {
+						line, err := in.ReadSlice('\n')
+						if err != nil {
+							b.Fatal(err)
+						}
+						if v := len("Content-Length: "); len(line) > v && string(line[:v]) == "Content-Length: " {
+							size, _ = strconv.Atoi(string(line[v : len(line)-2]))
+						}
+						if len(line) == 2 {
+							break
+						}
+					}
+					if size != len(result) {
+						b.Fatalf("a body of %d bytes", size)
+					}
+					in.Discard(size)
+					continue
+				}
+				f := []string{"txn", fmt.Sprintf("%016x", n), "door", strconv.FormatInt(time.Now().UnixMilli(), 10), "lb", "4", "ram", "24.5"}
+				frame = msgpack.AppendString(msgpack.AppendUint(append(msgpack.AppendArray(frame[:0], 4), 0), n), "view")
+				frame = msgpack.AppendMap(msgpack.AppendArray(frame, 2), len(f)/2)
+				for _, s := range f {
+					frame = msgpack.AppendString(frame, s)
+				}
+				frame = append(msgpack.AppendBinHead(frame, len(body)), body...)
+				if _, err := conn.Write(frame); err != nil {
+					b.Fatal(err)
+				}
+				for answer = answer[:0]; ; {
+					c, err := in.ReadByte()
+					if err != nil {
+						b.Fatal(err)
+					}
+					more, _ := in.Peek(in.Buffered())
+					answer = append(append(answer, c), more...)
+					in.Discard(len(more))
+					p := msgpack.Parse(answer)
+					if p.Skip(); p.Err() == nil {
+						break
+					}
+				}
+			}
+		})
+	}
+}
+
+// What the block's parser and the route cost by themselves.
+func BenchmarkUnderstand(b *testing.B) {
+	f := file()
+	s := &Server{}
+	s.Set(f)
+	v := s.view.Load()
+	block := post("/view/7", "", "HTTP_HOST", "portal.example", "REMOTE_ADDR", "10.0.0.1", "HTTP_USER_AGENT", "Mozilla/5.0 (X11; Linux x86_64)")[wire.HeadSize:]
+	var vars wire.Variables
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := vars.Parse(block, 64); err != nil {
+			b.Fatal(err)
+		}
+		var m message
+		m.Variables = &vars
+		if w := v.understand(&m); w != nil {
+			b.Fatal(w)
+		}
+		if _, err := v.routes.Find(&m.Message); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -37,6 +37,7 @@
 	Away   float64 // PushedBack: ms that the caller should stay away
 	Last   bool    // PushedBack: the caller should not go elsewhere
 	Why    string  // Aborted
+	Late   bool    // Aborted: as its answer was due
 }
 
 // Outcome is what became of a run.
@@ -63,6 +64,17 @@
 	Token            string // the same in all tries of a tokened RPC, which also have the same body
 }
 
+// Work is a run that a verdict asked for, as a back is told of it.
+type Work struct {
+	ID, Method string
+	Body       []byte
+	Due        float64 // Unix ms by which its answer must have been given
+	Variables  string  // what the RPC came with beside its body, in a form that front and back agree on
+}
+
+// Runner has the work of an RPC run and calls done once with what became of it, the head as in ReportHead.
+type Runner func(w Work, done func(how Outcome, spent float64, head, result []byte))
+
 // Log takes the lines that the decisions and the gate have to say. The texts are constants; what differs from
 // line to line is in the detail, if there is one.
 type Log func(text, detail string)
@@ -264,6 +276,16 @@
 	}
 }
 
+// Now is the next verdict if it is there already.
+func (t *Ticket) Now() (v Verdict, there bool) {
+	select {
+	case v = <-t.verdicts:
+		return v, true
+	default:
+		return v, false
+	}
+}
+
 // Leave tells that the caller no longer waits. It does nothing once there is a final verdict.
 func (t *Ticket) Leave() { t.leave(control.Error) }
 
@@ -361,7 +383,7 @@
 	for _, t := range g.tickets {
 		if !t.final && now > t.due+g.told.Slack/2 {
 			g.log("gate: an RPC was overdue", "")
-			g.end(t, control.Reset, Verdict{Answer: Aborted, Why: "overdue"})
+			g.end(t, control.Reset, Verdict{Answer: Aborted, Why: "overdue", Late: true})
 		}
 	}
 	if g.expiries == nil {
@@ -449,6 +471,9 @@
 // faultPause is the time to the next tick when one has ended in a panic before it asked for another.
 const faultPause = 40.0
 
+// dueSoon is the ms before the due time in which the module gives up what is due: two of its looks.
+const dueSoon = 80.0
+
 func (g *Gate) carryOut(a control.Action) {
 	switch a.Do {
 	case control.Arm:
@@ -490,7 +515,8 @@
 		}
 		t.finish(v)
 	case control.Abort:
-		t.finish(Verdict{Answer: Aborted, Why: "given up"})
+		late := unixMs(g.now())+dueSoon > t.due
+		t.finish(Verdict{Answer: Aborted, Why: "given up", Late: late})
 	case control.Remember:
 		g.remember(t, a.Time)
 	case control.Forget:
--- /dev/null
+++ b/internal/stand/rules.go
@@ -0,0 +1,97 @@
+package stand
+
+// This file owns the checker of the rules: it hears of every run and every answer, and tells what was broken. It must
+// never take a missing answer for a good one.
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Rules checks that each RPC gets one answer, and that nothing tokened runs twice. A tokened RPC bears its token as
+// its body, so that a run can be told by it.
+type Rules struct {
+	tokened map[string]bool
+
+	mu     sync.Mutex
+	runs   map[string][]time.Time // of tokened bodies
+	sent   map[uint64]int         // answers by RPC
+	broken []string
+}
+
+// NewRules returns a checker that knows which methods are tokened.
+func NewRules(tokened ...string) *Rules {
+	r := &Rules{tokened: map[string]bool{}, runs: map[string][]time.Time{}, sent: map[uint64]int{}}
+	for _, m := range tokened {
+		r.tokened[m] = true
+	}
+	return r
+}
+
+// Ran hears of a run.
+func (r *Rules) Ran(method string, body []byte) {
+	if !r.tokened[method] {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[string(body)] = append(r.runs[string(body)], time.Now())
+}
+
+// Runs is how often a token has run.
+func (r *Rules) Runs(token string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs[token])
+}
+
+// Sent hears that an RPC has been written.
+func (r *Rules) Sent(rpc uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[rpc] += 0
+}
+
+// Answered hears of one whole answer.
+func (r *Rules) Answered(rpc uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[rpc]++
+}
+
+// Broke notes a rule that was seen broken elsewhere.
+func (r *Rules) Broke(format string, a ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf(format, a...))
+}
+
+// Verdict of all that was heard.
+type Verdict struct {
+	RPCs, Unanswered, Twice int
+	SecondRuns              int
+	Broken                  []string
+}
+
+// Verdict tells how the rules stand, once all answers must have come.
+func (r *Rules) Verdict() (v Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range r.sent {
+		v.RPCs++
+		switch {
+		case n == 0:
+			v.Unanswered++
+		case n > 1:
+			v.Twice++
+		}
+	}
+	for _, at := range r.runs {
+		v.SecondRuns += len(at) - 1
+	}
+	v.Broken = append(v.Broken, r.broken...)
+	sort.Strings(v.Broken)
+	return v
+}
