--- /dev/null
+++ b/internal/lab/mixed.go
@@ -0,0 +1,198 @@
+package lab
+
+// This file owns the experiment uwsgi-mixed: one machine, traffic above what it can do, half of it by each protocol. It
+// must never let one of the three ways have more of the machine, or other RPCs, than another.
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/stand"
+)
+
+// The portal's methods, at a fifth of its times.
+var mixedMethods = []Method{
+	{Name: "account-view", Target: 400, Deadline: 1000, Criticality: 1, Late: 0.2},
+	{Name: "settings-save", Target: 400, Deadline: 1000, Criticality: 1},
+	{Name: "topup-buy", Target: 400, Deadline: 1000, Criticality: 3, Tokened: true, Window: 13584},
+}
+
+const (
+	mixedCores = 16
+	mixedWork  = 60.0                   // ms, mean
+	mixedLoad  = 1.2                    // of what the machine can do
+	ownWait    = 300 * time.Millisecond // that a caller waits past the deadline: an answer may be under way
+)
+
+func mixedPlan(o Options, length time.Duration) stand.Plan {
+	return stand.Plan{
+		Rate: mixedLoad * mixedCores * 1000 / mixedWork, For: length, Callers: 3, Seed: o.Seed, Again: 0.2, Deadline: time.Second + ownWait,
+		Kinds: []stand.Kind{{Method: "account-view", Share: 0.5, Work: mixedWork}, {Method: "settings-save", Share: 0.38, Work: mixedWork},
+			{Method: "topup-buy", Share: 0.12, Work: mixedWork, Tokened: true}},
+	}
+}
+
+// Mixed is the experiment.
+func Mixed(o Options) (*Report, error) {
+	length := 60 * time.Second
+	if o.Quick {
+		length = 11 * time.Second
+	}
+	r := &Report{Name: "uwsgi-mixed", Header: []string{"way", "protocol", "method", "RPCs", "ok in target", "ok late", "pushed back", "aborted", "lost", "p50 ms", "p99 ms", "pushed back p99 ms"}}
+	served := map[string]float64{}
+	for _, way := range []string{"past the valve", "plain queue", "valve"} {
+		cores := stand.NewCores(mixedCores, 8)
+		rules := stand.NewRules("topup-buy")
+		engine, err := stand.NewEngine(cores, stand.ByBody, rules)
+		if err != nil {
+			return nil, err
+		}
+		settings, err := Settings(mixedMethods, mixedCores)
+		if err != nil {
+			return nil, err
+		}
+		var callers map[string]stand.Caller
+		var ends []func()
+		switch way {
+		case "plain queue":
+			q := NewQueue(func(w gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
+				rules.Ran(w.Method, w.Body)
+				work, result := stand.ByBody(w.Method, w.Body)
+				cores.Run(work, func() { done(gate.Succeeded, work, nil, result) })
+			}, mixedCores, 4*mixedCores)
+			callers = map[string]stand.Caller{"msgpack": queueCaller{q}, "uwsgi": queueCaller{q}}
+			ends = append(ends, q.Close)
+		default:
+			s, err := NewServer(settings, engine.Addr(), File(mixedMethods))
+			if err != nil {
+				return nil, err
+			}
+			web := s.Web
+			if way == "past the valve" {
+				app, err := stand.NewApp(cores, stand.ByBody, rules)
+				if err != nil {
+					return nil, err
+				}
+				web = app.Addr()
+				ends = append(ends, app.Stop)
+			}
+			callers = map[string]stand.Caller{"msgpack": stand.NewRouter(s.RPC), "uwsgi": stand.NewWeb(web, false)}
+			ends = append(ends, s.Close)
+		}
+		samples := mixedPlan(o, length).Run(context.Background(), callers, rules)
+		for _, c := range callers {
+			c.Close()
+		}
+		for _, end := range ends {
+			end()
+		}
+		engine.Close()
+		cores.Close()
+		rows := stand.Summary(samples, true, 400*time.Millisecond)
+		for _, row := range rows {
+			r.Row(way, row.Protocol, row.Method, row.N, row.InTime, row.Late, row.PushedBack, row.Aborted, row.Lost, row.P50, row.P99, row.Pushed99)
+		}
+		served[way] = criticality(samples, mixedMethods)
+		r.Charts = append(r.Charts, overTime(way, samples))
+		if way != "valve" {
+			continue
+		}
+		apart, pushed := 0.0, 0.0
+		for i, row := range rows {
+			if row.Method == "topup-buy" {
+				r.AtLeast("topup-buy in target by "+row.Protocol, row.InTime, 0.97)
+			}
+			if i%2 == 1 {
+				apart = math.Max(apart, math.Abs(row.InTime-rows[i-1].InTime))
+			}
+			pushed = math.Max(pushed, row.Pushed99)
+		}
+		v := rules.Verdict()
+		r.AtMost("protocols apart", apart, 0.03)
+		r.AtMost("pushed back p99 ms", pushed, 20)
+		r.AtMost("RPCs without an answer", float64(v.Unanswered), 0)
+		r.AtMost("RPCs with two", float64(v.Twice), 0)
+		r.AtMost("second runs", float64(v.SecondRuns), 0)
+		r.AtMost("results changed", float64(len(v.Broken)), 0)
+	}
+	r.Above("criticality served", served["valve"], served["plain queue"])
+	return r, nil
+}
+
+// criticality is the share of all criticality that was served, a late answer at what its method keeps.
+func criticality(samples []stand.Sample, methods []Method) float64 {
+	got, all := 0.0, 0.0
+	for _, s := range samples {
+		for _, m := range methods {
+			if m.Name != s.Method {
+				continue
+			}
+			all += m.Criticality
+			if s.Outcome == stand.OK && float64(s.Took)/1e6 <= m.Target {
+				got += m.Criticality
+			} else if s.Outcome == stand.OK {
+				got += m.Criticality * m.Late
+			}
+		}
+	}
+	return got / math.Max(1, all)
+}
+
+// overTime is the share ok in target of each method, second by second.
+func overTime(way string, samples []stand.Sample) Chart {
+	c := Chart{Name: way, X: "s", Y: "ok within the latency target"}
+	type cell struct{ ok, all float64 }
+	at := map[string]map[int]*cell{}
+	last := 0
+	for _, s := range samples {
+		if at[s.Method] == nil {
+			at[s.Method] = map[int]*cell{}
+		}
+		second := int(s.At / time.Second)
+		if at[s.Method][second] == nil {
+			at[s.Method][second] = &cell{}
+		}
+		last = max(last, second)
+		x := at[s.Method][second]
+		if x.all++; s.Outcome == stand.OK && s.Took <= 400*time.Millisecond {
+			x.ok++
+		}
+	}
+	for _, m := range mixedMethods {
+		l := Line{Name: m.Name}
+		for s := range last + 1 {
+			if x := at[m.Name][s]; x != nil {
+				l.XY = append(l.XY, struct{ X, Y float64 }{float64(s), x.ok / x.all})
+			}
+		}
+		if len(l.XY) > 0 {
+			c.Lines = append(c.Lines, l)
+		}
+	}
+	return c
+}
+
+// queueCaller calls the plain queue without any wire between, which is in the queue's favour.
+type queueCaller struct{ q *Queue }
+
+func (c queueCaller) Close() {}
+
+func (c queueCaller) Call(ctx context.Context, call stand.Call) stand.Reply {
+	began := time.Now()
+	got := make(chan stand.Reply, 1)
+	taken := c.q.Run(gate.Work{Method: call.Method, Body: call.Body}, call.Token, func(_ gate.Outcome, _ float64, _, result []byte) {
+		got <- stand.Reply{Body: result}
+	})
+	if !taken {
+		return stand.Reply{Outcome: stand.PushedBack, Took: time.Since(began)}
+	}
+	select {
+	case r := <-got:
+		r.Took = time.Since(began)
+		return r
+	case <-ctx.Done():
+		return stand.Reply{Outcome: stand.Lost, Took: time.Since(began)}
+	}
+}
