--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -92,6 +92,7 @@
 	}
 	sockets := p.Sockets
 	if t.op != nil {
+		settings.Rules.Settle = t.op.File.Hold.SettledMs
 		if sockets -= t.op.File.Descriptors(); sockets < leastSockets {
 			return fmt.Errorf("operator: the file's parts may take %d descriptors of limits.sockets, %d", t.op.File.Descriptors(), p.Sockets)
 		}
--- a/cmd/sorrelvalve/serve_test.go
+++ b/cmd/sorrelvalve/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,12 +13,15 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"sorrelvalve/internal/msgpack"
 	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/operator"
+	"sorrelvalve/internal/stand"
 )
 
 const soon = 10 * time.Second // bounds what must come at once
@@ -74,6 +78,8 @@
 	*testing.T
 	wait   chan struct{} // closed: runs that wait go on
 	file   string
+	record string // the operator's; "" for none
+	web    string // where its front listens
 	engine net.Listener
 	reread chan os.Signal
 	loaded chan struct{}
@@ -82,7 +88,25 @@
 	conn   net.Conn
 	stop   chan os.Signal
 	over   chan error
-	lines  bytes.Buffer
+	lines  buffer
+}
+
+// buffer is a log that is read while it is written.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
 }
 
 func listen(t *testing.T) net.Listener {
@@ -94,7 +118,7 @@
 	return ln
 }
 
-func start(t *testing.T, stopMs int) *whole {
+func start(t *testing.T, stopMs int, change ...func(w *whole)) *whole {
 	w := &whole{
 		T: t, wait: make(chan struct{}), stop: make(chan os.Signal, 2), reread: make(chan os.Signal), loaded: make(chan struct{}, 100), over: make(chan error, 1),
 		file: filepath.Join(t.TempDir(), "config.json"), engine: listen(t), phases: make(chan string, 100),
@@ -113,7 +137,14 @@
 	load := func() (told, error) {
 		defer func() { w.loaded <- struct{}{} }()
 		p, err := opening.Load(func(key string) string { return map[string]string{"EDGE_CONFIG": w.file}[key] })
-		return told{Process: p}, err
+		t := told{Process: p}
+		if err == nil && w.record != "" {
+			t.op, err = operator.Load(w.record, p.Opening)
+		}
+		return t, err
+	}
+	for _, c := range change {
+		c(w)
 	}
 	p, err := load()
 	<-w.loaded
@@ -264,6 +295,126 @@
 	}
 }
 
+// operated gives the server an operator's record with a front, and a pool for one of its methods where a member is named.
+func operated(members ...string) func(w *whole) {
+	return func(w *whole) {
+		own := listen(w.T)
+		w.web = own.Addr().String()
+		own.Close()
+		w.record = filepath.Join(w.TempDir(), "operator.record")
+		w.operate(members...)
+	}
+}
+
+func (w *whole) operate(members ...string) {
+	w.Helper()
+	f := &operator.File{
+		Version: fmt.Sprint("members ", len(members)),
+		UWSGI: &operator.UWSGI{Listen: w.web, Keep: "asked", BlockBytes: 4096, Variables: 64, PathBytes: 1024, BodyBytes: 1024, BodiesKB: 64,
+			SilenceMs: 1000, BodyMs: 1000, HeldKB: 16},
+		Routes: map[string]operator.Route{"view": {Path: "/view", Verb: "POST", Method: "view", Type: "text/plain"}},
+	}
+	if len(members) > 0 {
+		f.Pools = map[string]operator.Pool{"p": {Members: members, Connections: 4, ConnectMs: 100, AnswerBytes: 4096, EjectMs: 1000,
+			Retry: operator.Retry{Most: 1}}}
+		f.Methods = map[string]operator.Method{"view": {Pool: "p", Path: "/view", Verb: "POST"}}
+	}
+	b, err := operator.Append(f)
+	if err == nil {
+		err = os.WriteFile(w.record, b, 0o600)
+	}
+	if err != nil {
+		w.Fatal(err)
+	}
+}
+
+// page is the answer to one RPC by uwsgi.
+func (w *whole) page(body string) stand.Reply {
+	w.Helper()
+	web := stand.NewWeb(w.web, false)
+	defer web.Close()
+	ctx, end := context.WithTimeout(context.Background(), soon)
+	defer end()
+	return web.Call(ctx, stand.Call{Method: "view", Body: []byte(body)})
+}
+
+// With an operator's record both fronts serve; a new record moves the work to a pool; one that is wrong, or that a
+// running process can't take, changes nothing of it nor of the configuration; a drain ends both.
+func TestOperated(t *testing.T) {
+	cores := stand.NewCores(4, 0)
+	defer cores.Close()
+	app, err := stand.NewApp(cores, func(string, []byte) (float64, []byte) { return 1, []byte("of the pool") }, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer app.Stop()
+	w := start(t, 5000, operated(app.Addr()))
+	defer close(w.wait)
+	if got := w.page("a"); string(got.Body) != "of the pool" {
+		t.Errorf("page %+v", got)
+	}
+	w.conn.Write(call(1, "view", "a"))
+	w.answered("\x94\x01\x01\xc0\x92\xc4\x0bof the pool\x81\xa4type\xaatext/plain")
+	w.operate()
+	w.reread <- syscall.SIGHUP
+	<-w.loaded
+	w.until(`hash=`, `version="members 0"`)
+	if got := w.page("b"); string(got.Body) != "b" {
+		t.Errorf("page %+v", got)
+	}
+	for _, wrong := range []func(){
+		func() { os.WriteFile(w.record, []byte("{"), 0o600) },
+		func() { w.operate(app.Addr(), "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3") }, // more descriptors than at the start
+		func() { // another address
+			old := w.web
+			w.web = "127.0.0.1:1"
+			w.operate()
+			w.web = old
+		},
+	} {
+		wrong()
+		b, _ := os.ReadFile(w.file)
+		_, members, _ := strings.Cut(string(b), `"members":"`)
+		members = members[:strings.Index(members, `"`)]
+		w.reload(members, "127.0.0.1:9") // which must not be taken either
+		w.reload("127.0.0.1:9", members)
+		if got := w.page("c"); string(got.Body) != "c" {
+			t.Errorf("page %+v", got)
+		}
+	}
+	w.stop <- syscall.SIGTERM
+	w.reported("first OUT")
+	w.conn.Close()
+	w.ended()
+	for _, want := range []string{"no record", "a new start", "uwsgi.listen"} {
+		if !strings.Contains(w.lines.String(), want) {
+			t.Errorf("no %q in the log: %s", want, w.lines.String())
+		}
+	}
+	if strings.Contains(w.lines.String(), `members="127.0.0.1:9"`) {
+		t.Error("a configuration was taken whose record was wrong")
+	}
+}
+
+// until waits for all of these in the log.
+func (w *whole) until(want ...string) {
+	w.Helper()
+	for end := time.Now().Add(soon); ; time.Sleep(time.Millisecond) {
+		left := 0
+		for _, s := range want {
+			if !strings.Contains(w.lines.String(), s) {
+				left++
+			}
+		}
+		if left == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			w.Fatalf("logged %s", w.lines.String())
+		}
+	}
+}
+
 // A flood of one line is cut, and the next one that is written counts what was dropped.
 func TestLogFlood(t *testing.T) {
 	var out bytes.Buffer
--- a/control/api.go
+++ b/control/api.go
@@ -84,6 +84,7 @@
 type Rules struct {
 	DrainGrace float64 // what arrives later than this after the notice is not run
 	Ceiling    float64 // RPCs on the cores, for each core, that a warm node survives
+	Settle     float64 // held for longer than this, an RPC is not pushed back for another; 0 for no such time
 }
 
 // Kind tells what happened.
--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	node             Node
 	methods          []Method
 	grace, overShare float64
+	settle           float64
 	tightest         float64 // the tightest latency target
 	retry            float64 // longest advice to stay away
 	out              []Action
@@ -62,7 +63,7 @@
 	fleet.Callers, fleet.Peers = max(1, fleet.Callers), max(1, fleet.Peers)
 	node.WarmBy = math.Max(1, node.WarmBy)
 	c := &Control{
-		node: node, methods: methods, grace: rules.DrainGrace, retry: fleet.MaxRetryAfter,
+		node: node, methods: methods, grace: rules.DrainGrace, settle: rules.Settle, retry: fleet.MaxRetryAfter,
 		in:       slab{byID: map[uint32]int{}},
 		ramp:     newRamp(node.Cold, node.WarmBy, fleet.Callers, node.Seed),
 		pressure: pressure{share: 1, late: make([]float64, len(methods))},
@@ -143,7 +144,7 @@
 	meth := &c.methods[m]
 	r := rpc{
 		id: ev.RPC, state: held, method: m, caller: ev.Caller, again: ev.Retry,
-		arrived: c.now - ev.Waited, work: ev.Hint, value: meth.Criticality,
+		arrived: c.now - ev.Waited, read: c.now, work: ev.Hint, value: meth.Criticality,
 		heldKB: ev.HeldKB, kb: ev.HeldKB,
 	}
 	if ev.Hint == 0 {
@@ -256,7 +257,7 @@
 			e := c.est(r)
 			ahead += math.Max(e-(c.now-r.began), e/4)
 		case held:
-			if r.target <= target && r.value >= floor {
+			if r.target <= target && (r.value >= floor || c.settled(r)) {
 				ahead += c.est(r)
 			}
 		}
@@ -268,6 +269,10 @@
 	return ahead / n
 }
 
+// settled tells whether an RPC has been held for so long that it stays, where those pushed back are to hear at once.
+// Without that it may make way as long as it is held, which serves more where bursts of what counts most are long.
+func (c *Control) settled(r *rpc) bool { return c.settle > 0 && c.now-r.read > c.settle }
+
 // doubt is the part of its expected run time by which one RPC's own is trusted to be no shorter: hints are
 // rough, and a run that has a core to itself costs little if it comes late. Heavy work counts most where
 // work is counted.
@@ -295,6 +300,7 @@
 		least := -1
 		for i := range c.in.rpc {
 			if o := &c.in.rpc[i]; o.state == held && o.target <= r.target && o.value < less*r.value &&
+				!c.settled(o) &&
 				(least < 0 || o.value < c.in.rpc[least].value) {
 				least = i
 			}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -679,3 +679,40 @@
 		t.Error("two instances told the same act differently")
 	}
 }
+
+// What counts for more takes the place of what was just read, at once; who has been held for a while stays.
+func TestWhoMakesWay(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		settle, held float64 // ms
+		gone         bool
+	}{{"just read", 20, 5, true}, {"held for a while", 20, 30, false}, {"for a while, where there is no such time", 0, 30, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := plain()
+			s.methods = append(s.methods, Method{Name: "buy", LatencyTarget: 1000, Deadline: 3000, Criticality: 3})
+			s.rules.Settle = c.settle
+			w := start(t, s)
+			id := uint32(0)
+			for i := range 200 { // until one is pushed back: the hold is full
+				id++
+				w.arrive(id, Event{Caller: uint16(i), Hint: 200})
+				if w.did(PushBack, id) {
+					break
+				}
+			}
+			before := len(w.final)
+			w.now += c.held
+			pushed := false
+			for range 8 { // more than has room beside
+				id++
+				w.arrive(id, Event{Method: 1, Caller: 1, Hint: 200})
+				for _, a := range w.last {
+					pushed = pushed || a.Do == PushBack && a.RPC <= uint32(id-1)
+				}
+			}
+			if before == 0 || pushed != c.gone {
+				t.Errorf("%d pushed back before, held ones displaced: %v", before, pushed)
+			}
+		})
+	}
+}
--- a/control/slab.go
+++ b/control/slab.go
@@ -24,6 +24,7 @@
 	state    state
 	method   int
 	arrived  float64 // when it reached the machine
+	read     float64 // when it was read here
 	target   float64 // when the answer is wanted
 	due      float64 // when the caller gives up
 	work     float64 // hint, or 1 where there is none
--- a/internal/cuefile/schema.cue
+++ b/internal/cuefile/schema.cue
@@ -4,6 +4,12 @@
 // Which version of the file this is, in the operator's own words.
 version: string & =~"^[^\\n]{1,64}$"
 
+hold: {
+	// An RPC that has been held for longer is not pushed back for one that counts for more, so that who is pushed
+	// back hears at once; 0 for no such time, which serves more where such bursts are long.
+	settled_ms: *0 | number & >=0 & <=60000
+}
+
 // The front that accepts uwsgi; without it there is none.
 uwsgi?: #UWSGI
 
--- a/internal/lab/mixed.go
+++ b/internal/lab/mixed.go
@@ -20,10 +20,11 @@
 }
 
 const (
-	mixedCores = 16
-	mixedWork  = 60.0                   // ms, mean
-	mixedLoad  = 1.2                    // of what the machine can do
-	ownWait    = 300 * time.Millisecond // that a caller waits past the deadline: an answer may be under way
+	mixedCores  = 16
+	mixedWork   = 60.0                   // ms, mean
+	mixedSettle = 20.0                   // ms: hold.settled_ms, so that who is pushed back hears at once
+	mixedLoad   = 1.2                    // of what the machine can do
+	ownWait     = 300 * time.Millisecond // that a caller waits past the deadline: an answer may be under way
 )
 
 func mixedPlan(o Options, length time.Duration) stand.Plan {
@@ -40,7 +41,7 @@
 	if o.Quick {
 		length = 11 * time.Second
 	}
-	r := &Report{Name: "uwsgi-mixed", Header: []string{"way", "protocol", "method", "RPCs", "ok in target", "ok late", "pushed back", "aborted", "lost", "p50 ms", "p99 ms", "pushed back p99 ms"}}
+	r := &Report{Name: "uwsgi-mixed", Header: []string{"way", "protocol", "method", "RPCs", "ok in target", "ok late", "pushed back", "aborted", "lost", "p50 ms", "p99 ms", "pushed back p99 ms", "after 20 ms"}}
 	served := map[string]float64{}
 	for _, way := range []string{"past the valve", "plain queue", "valve"} {
 		cores := stand.NewCores(mixedCores, 8)
@@ -65,6 +66,7 @@
 			callers = map[string]stand.Caller{"msgpack": queueCaller{q}, "uwsgi": queueCaller{q}}
 			ends = append(ends, q.Close)
 		default:
+			settings.Rules.Settle = mixedSettle
 			s, err := NewServer(settings, engine.Addr(), File(mixedMethods))
 			if err != nil {
 				return nil, err
@@ -92,7 +94,7 @@
 		cores.Close()
 		rows := stand.Summary(samples, true, 400*time.Millisecond)
 		for _, row := range rows {
-			r.Row(way, row.Protocol, row.Method, row.N, row.InTime, row.Late, row.PushedBack, row.Aborted, row.Lost, row.P50, row.P99, row.Pushed99)
+			r.Row(way, row.Protocol, row.Method, row.N, row.InTime, row.Late, row.PushedBack, row.Aborted, row.Lost, row.P50, row.P99, row.Pushed99, row.Held)
 		}
 		served[way] = criticality(samples, mixedMethods)
 		r.Charts = append(r.Charts, overTime(way, samples))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,12 +34,18 @@
 // File is all that an operator sets beside the platform's configuration. Times are ms.
 type File struct {
 	Version string            `json:"version"`
+	Hold    Hold              `json:"hold"`
 	UWSGI   *UWSGI            `json:"uwsgi,omitempty"`
 	Routes  map[string]Route  `json:"routes,omitempty"`
 	Pools   map[string]Pool   `json:"pools,omitempty"`
 	Methods map[string]Method `json:"methods,omitempty"`
 }
 
+// Hold is how RPCs are held.
+type Hold struct {
+	SettledMs float64 `json:"settled_ms"` // after which one is not pushed back for another; 0 for no such time
+}
+
 // UWSGI is the front that accepts uwsgi.
 type UWSGI struct {
 	Listen     string  `json:"listen"`
@@ -239,6 +245,7 @@
 	if f.Version == "" || len(f.Version) > 64 {
 		bad("version", "a text of up to 64 bytes expected")
 	}
+	within("hold.settled_ms", f.Hold.SettledMs, 0, 60e3)
 	if u := f.UWSGI; u != nil {
 		if !isAddress(u.Listen) {
 			bad("uwsgi.listen", "an IP address and a port, as 10.0.0.4:3031, expected, %.60q there", u.Listen)
@@ -388,6 +395,9 @@
 
 // Stays names the keys in which next differs though a running process can't take them anew.
 func (f *File) Stays(next *File) (all []string) {
+	if f.Hold != next.Hold {
+		all = append(all, "hold")
+	}
 	switch {
 	case (f.UWSGI == nil) != (next.UWSGI == nil):
 		all = append(all, "uwsgi")
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -97,6 +97,7 @@
 		{func(f *File) { f.UWSGI.BodyBytes = 1; f.Routes = nil; f.Pools = nil }, "[]"},
 		{func(f *File) { f.UWSGI.Listen = "127.0.0.1:1" }, "[uwsgi.listen]"},
 		{func(f *File) { f.UWSGI = nil }, "[uwsgi]"},
+		{func(f *File) { f.Hold.SettledMs = 20 }, "[hold]"},
 	} {
 		next := sound()
 		c.change(next)
--- a/internal/stand/callers.go
+++ b/internal/stand/callers.go
@@ -31,6 +31,7 @@
 	Subject          uint64
 	Hint             float64 // ms
 	Retry            bool
+	Door             time.Time // when it reached the machine; now if zero
 }
 
 // Outcome is how a call ended.
@@ -147,7 +148,11 @@
 	if err != nil {
 		return Reply{Outcome: Lost, Why: err.Error()}
 	}
-	f := []string{"txn", fmt.Sprintf("%016x", txns.Add(1)), "door", strconv.FormatInt(began.UnixMilli(), 10), "lb", strconv.Itoa(c.Caller), "ram", "24.5"}
+	door := began
+	if !c.Door.IsZero() {
+		door = c.Door
+	}
+	f := []string{"txn", fmt.Sprintf("%016x", txns.Add(1)), "door", strconv.FormatInt(door.UnixMilli(), 10), "lb", strconv.Itoa(c.Caller), "ram", "24.5"}
 	add := func(key, value string) { f = append(f, key, value) }
 	if c.Customer != "" {
 		add("team", c.Customer)
@@ -517,6 +522,7 @@
 	N, OK, Late, PushedBack, Aborted, Lost int
 	P50, P99                               float64 // ms, of ok answers
 	Pushed99                               float64 // ms, of pushed-back answers
+	Held                                   int     // pushed back after more than HeldMs
 	InTime                                 float64 // share of all that was ok within the latency target
 	took, pushed                           []float64
 }
@@ -554,6 +560,9 @@
 		case PushedBack:
 			r.PushedBack++
 			r.pushed = append(r.pushed, ms)
+			if ms > HeldMs {
+				r.Held++
+			}
 		case Lost:
 			r.Lost++
 		default:
@@ -574,6 +583,9 @@
 	return rows
 }
 
+// HeldMs is above what an answer that was decided at once takes on a busy machine.
+const HeldMs = 20.0
+
 // Quantile is the exact one of some values, which it sorts; 0 of none.
 func Quantile(v []float64, q float64) float64 {
 	if len(v) == 0 {
