--- /dev/null
+++ b/choose/plan/plan_test.go
@@ -0,0 +1,47 @@
+package plan
+
+import (
+	"math/rand"
+	"testing"
+
+	"sorrelvalve/choose/replay"
+	"sorrelvalve/control"
+)
+
+// A customer whose quota is a hundredth of what it sends, with RPCs over it counting for nothing, and cores that are
+// bounded to fewer runs than there are: the search finds settings that serve more, also on parts it never saw, and says
+// the same each time.
+func TestSearch(t *testing.T) {
+	s := replay.Settings{
+		Node:      control.Node{Seed: 3, Cores: 4, MemKB: 1e6, RunFactor: 4, Tick: 4, WarmBy: 4000},
+		Fleet:     control.Fleet{Peers: 1, Callers: 3, Marks: true, MaxRetryAfter: 1000, OverShare: 0, Heeded: 1000, Idle: 30000},
+		Rules:     control.Rules{DrainGrace: 1000, Ceiling: 1},
+		Methods:   []control.Method{{Name: "view", LatencyTarget: 400, Deadline: 1000, Criticality: 1}, {Name: "buy", LatencyTarget: 400, Deadline: 1000, Criticality: 3}},
+		Customers: []control.Customer{{Name: "a", Quota: 1}, {Name: "b", Quota: 100}},
+	}
+	chance := rand.New(rand.NewSource(1))
+	var parts [][]replay.Step
+	id := uint32(0)
+	for p := range 4 {
+		var steps []replay.Step
+		for at := 0.0; at < 5000; at += chance.ExpFloat64() * 9 {
+			id++
+			ev := control.Event{Kind: control.Arrive, RPC: id, Customer: chance.Intn(2), Hint: 10 + 30*chance.Float64(), HeldKB: 10}
+			if chance.Intn(8) == 0 {
+				ev.Method = 1
+			}
+			steps = append(steps, replay.Step{Now: float64(p)*5000 + at, Event: ev})
+		}
+		parts = append(parts, steps)
+	}
+	a, b := Search(s, parts, 60, 1), Search(s, parts, 60, 1)
+	if a.After != b.After || a.Replays != b.Replays || a.Mean != b.Mean {
+		t.Errorf("two searches: %+v and %+v", a, b)
+	}
+	if a.Replays > 60 || a.After < a.Before+gain || a.Mean <= 0 || len(a.Held) != 2 {
+		t.Errorf("plan %+v", a)
+	}
+	if c := Search(s, parts, 1, 1); c.Replays != 1 || c.After != c.Before || c.Mean != 0 {
+		t.Errorf("without a budget %+v", c)
+	}
+}
--- /dev/null
+++ b/choose/replay/replay_test.go
@@ -0,0 +1,203 @@
+package replay
+
+import (
+	"flag"
+	"io"
+	"math/rand"
+	"runtime"
+	"testing"
+
+	"sorrelvalve/control"
+)
+
+func settings() *Settings {
+	return &Settings{
+		Node:  control.Node{Seed: 3, Cores: 4, MemKB: 1e6, RunFactor: 4, Tick: 4, WarmBy: 4000, StartSpeed: 0.2},
+		Fleet: control.Fleet{Peers: 1, Callers: 3, Marks: true, MaxRetryAfter: 1000, OverShare: 0.3, Heeded: 1000, Idle: 30000},
+		Rules: control.Rules{DrainGrace: 1000, Ceiling: 8},
+		Methods: []control.Method{
+			{Name: "view", LatencyTarget: 400, Deadline: 1000, Criticality: 1, LateShare: 0.2},
+			{Name: "buy", Repeat: control.Tokened, LatencyTarget: 400, Deadline: 1000, Window: 5000, Criticality: 3},
+		},
+		Customers: []control.Customer{{Name: "a", Quota: 40}, {Name: "b", Quota: 40}},
+	}
+}
+
+// arrivals are some seconds of load at a share of what the machine can do, with the ends that a recorder saw left out.
+func arrivals(load float64, seconds int, seed int64) (steps []Step) {
+	chance := rand.New(rand.NewSource(seed))
+	steps = append(steps, Step{Event: control.Event{Kind: control.Begin}})
+	id, token := uint32(0), uint64(0)
+	for at := 0.0; at < float64(seconds)*1000; {
+		at += chance.ExpFloat64() * 40 / 4 / load
+		id++
+		ev := control.Event{Kind: control.Arrive, RPC: id, Caller: uint16(chance.Intn(3)), Customer: chance.Intn(2), Hint: 8 + 32*chance.ExpFloat64(), HeldKB: 10, Waited: 1}
+		s := Step{Now: at, Event: ev}
+		if chance.Intn(8) == 0 {
+			s.Event.Method, s.Token = 1, token+1
+			if token++; chance.Intn(3) == 0 && token > 1 {
+				s.Token = token - 1 // a repeat
+			}
+		}
+		steps = append(steps, s)
+		if chance.Intn(20) == 0 {
+			steps = append(steps, Step{Now: at + 1, Event: control.Event{Kind: control.Left, RPC: id}})
+		}
+	}
+	return steps
+}
+
+func feed(steps []Step) func() (Step, error) {
+	i := 0
+	return func() (Step, error) {
+		if i == len(steps) {
+			return Step{}, io.EOF
+		}
+		i++
+		return steps[i-1], nil
+	}
+}
+
+// Each arrival ends exactly once, a token runs once, the same steps give the same ends, and more load is turned away.
+func TestModel(t *testing.T) {
+	away := map[float64]float64{}
+	for _, load := range []float64{0.5, 1.2, 2} {
+		steps := arrivals(load, 30, 7)
+		var runs [2][]Final
+		for k := range runs {
+			if err := Model(settings(), feed(steps), func(f Final) { runs[k] = append(runs[k], f) }); err != nil {
+				t.Fatal(err)
+			}
+		}
+		seen, n := map[int]bool{}, 0
+		for _, s := range steps {
+			if s.Event.Kind == control.Arrive {
+				n++
+			}
+		}
+		for i, f := range runs[0] {
+			if seen[f.Nth] {
+				t.Fatalf("RPC %d ended twice", f.Nth)
+			}
+			seen[f.Nth] = true
+			if f != runs[1][i] {
+				t.Fatalf("end %d differs: %+v and %+v", i, f, runs[1][i])
+			}
+			if f.Verdict.TurnedAway() {
+				away[load]++
+			}
+			if f.At > f.Arrived+1000+1 {
+				t.Errorf("RPC %d ended %g ms after its arrival", f.Nth, f.At-f.Arrived)
+			}
+		}
+		if len(seen) != n {
+			t.Errorf("load %g: %d of %d ended", load, len(seen), n)
+		}
+		away[load] /= float64(n)
+	}
+	if away[0.5] > 0.02 || away[1.2] < 0.05 || away[2] < away[1.2]+0.1 {
+		t.Errorf("turned away %v", away)
+	}
+}
+
+// What an instance said is what another says to the same events; a changed event, setting or verdict is found.
+func TestExact(t *testing.T) {
+	s := settings()
+	c := s.start()
+	var steps []Step
+	rec := func(now float64, ev control.Event) []control.Action {
+		x := Step{Now: now, Event: ev}
+		all := append([]control.Action(nil), c.Handle(now, ev)...)
+		for _, a := range all {
+			if verdict(a.Do) {
+				x.Actions = append(x.Actions, a)
+			}
+		}
+		steps = append(steps, x)
+		return all
+	}
+	rec(0, control.Event{Kind: control.Begin})
+	wake := 40.0
+	for _, x := range arrivals(1.5, 10, 5)[1:] {
+		for wake <= x.Now {
+			for _, a := range rec(wake, control.Event{Kind: control.Timer}) {
+				if a.Do == control.Arm {
+					wake = a.Time
+				}
+			}
+		}
+		for _, a := range rec(x.Now, x.Event) {
+			if a.Do == control.Run {
+				rec(x.Now+0.1, control.Event{Kind: control.Ended, RPC: a.RPC, Outcome: control.OK, Spent: 30})
+			}
+		}
+	}
+	cases := []struct {
+		name   string
+		change func([]Step, *Settings)
+		parts  bool
+	}{
+		{"as it was", func([]Step, *Settings) {}, false},
+		{"another seed", func(_ []Step, s *Settings) { s.Node.Seed++ }, false}, // no chance was drawn: nothing was late
+		{"a verdict changed", func(x []Step, _ *Settings) { x[20].Actions = []control.Action{{Do: control.Abort, RPC: 1}} }, true},
+		{"another setting", func(_ []Step, s *Settings) { s.Methods[0].LatencyTarget = 30 }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, own := settings(), append([]Step(nil), steps...)
+			c.change(own, s)
+			parts, ends := 0, 0
+			n, err := Exact(s, feed(own), func(Parting) { parts++ }, func(Final) { ends++ })
+			if err != nil || n != len(steps) || (parts > 0) != c.parts || ends == 0 {
+				t.Errorf("%d of %d steps, %d partings, %d ends, error %v", n, len(steps), parts, ends, err)
+			}
+		})
+	}
+	if _, err := Exact(settings(), feed(steps[5:]), func(Parting) {}, func(Final) {}); err != ErrBegin {
+		t.Errorf("error %v of a trace without its beginning", err)
+	}
+}
+
+func BenchmarkModel(b *testing.B) {
+	steps := arrivals(1.2, 60, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		Model(settings(), feed(steps), func(Final) {})
+	}
+	b.ReportMetric(float64(len(steps))*float64(b.N)/b.Elapsed().Seconds(), "steps/s")
+}
+
+var arrivalsFlag = flag.Int("arrivals", 200000, "of the test of bounded memory; 10 million take half a minute")
+
+// A trace of any length is replayed in the memory of what is in hand.
+func TestBounded(t *testing.T) {
+	chance := rand.New(rand.NewSource(1))
+	n, at := 0, 0.0
+	next := func() (Step, error) {
+		if n == *arrivalsFlag {
+			return Step{}, io.EOF
+		}
+		n++
+		at += chance.ExpFloat64() * 8
+		s := Step{Now: at, Event: control.Event{Kind: control.Arrive, RPC: uint32(n), Customer: n % 2, Caller: uint16(n % 3), Hint: 10 + 30*chance.ExpFloat64(), HeldKB: 10}}
+		if n%9 == 0 {
+			s.Event.Method, s.Token = 1, uint64(n)
+		}
+		return s, nil
+	}
+	var m runtime.MemStats
+	ends, most := 0, uint64(0)
+	if err := Model(settings(), next, func(Final) {
+		if ends++; ends%50000 == 0 {
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapAlloc)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if ends != *arrivalsFlag || most > 32<<20 {
+		t.Errorf("%d ends of %d, %d KB of heap", ends, *arrivalsFlag, most>>10)
+	}
+	t.Logf("%d KB of heap at the most", most>>10)
+}
--- a/cmd/sorrelvalve/main.go
+++ b/cmd/sorrelvalve/main.go
@@ -20,6 +20,7 @@
 type command struct {
 	Serve   serveCmd   `cmd:"" help:"Serve RPCs until SIGTERM or SIGINT, then drain and exit."`
 	Check   checkCmd   `cmd:"" help:"Read the configuration, tell what is wrong with it, and start nothing."`
+	Trace   traceCmd   `cmd:"" help:"Record what the decisions are told and say; show, replay and compare it."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -39,12 +40,16 @@
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
+	fmt.Println("sorrelvalve", buildVersion())
+	return nil
+}
+
+func buildVersion() string {
 	v := version
 	if info, ok := debug.ReadBuildInfo(); ok && v == "" {
 		v = info.Main.Version
 	}
-	fmt.Println("sorrelvalve", v)
-	return nil
+	return v
 }
 
 func main() {
--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -28,6 +28,7 @@
 	"sorrelvalve/internal/members"
 	"sorrelvalve/internal/opening"
 	"sorrelvalve/internal/operator"
+	"sorrelvalve/internal/trace"
 )
 
 const (
@@ -46,6 +47,7 @@
 
 type serveCmd struct {
 	Operator string `type:"path" placeholder:"RECORD" help:"The operator's record, as valvectl compile wrote it; it is taken anew on SIGHUP with the configuration."`
+	Trace    string `type:"path" placeholder:"FILE" hidden:"" help:"Record a trace there, whatever the record says."`
 	StandIn  bool   `help:"Start a stand-in engine, and callers that ask for more than it can do, within this process, to see the main job run."`
 }
 
@@ -73,6 +75,19 @@
 		defer end()
 		load = own
 	}
+	if s.Trace != "" {
+		from := load
+		load = func() (told, error) {
+			t, err := from()
+			if err == nil && t.op == nil {
+				t.op = &operator.Record{Hash: strings.Repeat("0", 64), File: operator.File{Version: "none"}}
+			}
+			if err == nil {
+				t.op.File.Trace = &operator.Trace{Path: s.Trace, FileMB: 64, Files: 4}
+			}
+			return t, err
+		}
+	}
 	t, err := load()
 	if err != nil {
 		return err
@@ -92,7 +107,7 @@
 	}
 	sockets := p.Sockets
 	if t.op != nil {
-		settings.Rules.Settle = t.op.File.Hold.SettledMs
+		t.op.File.Apply(&settings)
 		if sockets -= t.op.File.Descriptors(); sockets < leastSockets {
 			return fmt.Errorf("operator: the file's parts may take %d descriptors of limits.sockets, %d", t.op.File.Descriptors(), p.Sockets)
 		}
@@ -110,6 +125,13 @@
 			log.WithField("detail", detail).Error(text)
 		}
 	})
+	if t.op != nil && t.op.File.Trace != nil {
+		rec := trace.NewRecorder(t.op.File.Trace.Path, traceBounds(t.op.File.Trace), buildVersion(), func(err error) {
+			log.WithError(err).Error("trace: not recorded")
+		})
+		defer rec.Close()
+		g.Trace(rec)
+	}
 	link := engine.New(p.Engine, log, g.Start)
 	table := front.NewTable(sockets, g.Idle, log)
 	run := engineRunner(link)
--- /dev/null
+++ b/cmd/sorrelvalve/trace_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"sorrelvalve/internal/operator"
+	"sorrelvalve/internal/trace"
+)
+
+// What a whole server records is replayed to the same verdicts; other limits can be asked about; a torn tail is told
+// and the rest replayed.
+func TestTrace(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "trace")
+	w := start(t, 5000, func(w *whole) {
+		w.record = filepath.Join(w.TempDir(), "operator.record")
+		b, err := operator.Append(&operator.File{Version: "t", Trace: &operator.Trace{Path: path, FileMB: 1, Files: 2}})
+		if err == nil {
+			err = os.WriteFile(w.record, b, 0o600)
+		}
+		if err != nil {
+			w.Fatal(err)
+		}
+	})
+	defer close(w.wait)
+	for id := uint64(1); id <= 5; id++ {
+		w.conn.Write(call(id, "view", "a"))
+		w.answered("\x94\x01" + string(rune(id)) + "\xc0\x92\xc4\x01a\x80")
+	}
+	w.stop <- syscall.SIGTERM
+	w.conn.Close()
+	w.ended()
+	if err := (replayCmd{File: path}).Run(); err != nil {
+		t.Error(err)
+	}
+	if err := (diffCmd{File: path, Seconds: 3}).Run(); err != nil {
+		t.Error(err)
+	}
+	if err := (showCmd{File: path, Limit: 3}).Run(); err != nil {
+		t.Error(err)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	torn := filepath.Join(t.TempDir(), "torn")
+	os.WriteFile(torn, b[:len(b)-10], 0o600)
+	if err := (showCmd{File: torn}).Run(); !errors.Is(err, trace.ErrTorn) {
+		t.Error(err)
+	}
+}
--- a/cmd/valvectl/main.go
+++ b/cmd/valvectl/main.go
@@ -19,6 +19,7 @@
 	Compile compileCmd `cmd:"" help:"Check it and write the record that serve --operator reads."`
 	Show    showCmd    `cmd:"" help:"Tell what a record is: version, hash and what it sets."`
 	Schema  schemaCmd  `cmd:"" help:"Print the schema of the operator's file."`
+	Plan    planCmd    `cmd:"" help:"Search settings that would have served more over a trace."`
 }
 
 type source struct {
--- a/internal/cuefile/schema.cue
+++ b/internal/cuefile/schema.cue
@@ -10,6 +10,22 @@
 	settled_ms: *0 | number & >=0 & <=60000
 }
 
+// Limits that go before those of the platform's settings: what an RPC over its customer's quota keeps of its criticality,
+// runs a core at the most, RPCs a second by customer.
+limits: {
+	over_share?:  number & >=0 & <=1
+	runs_a_core?: number & >=1 & <=1000
+	quotas?: [string]: number & >=0
+}
+
+// The recorder of all that the decisions are told and say; without it nothing is recorded.
+trace?: {
+	path: string & !=""
+	// The next file begins when one is so long, and so many are kept.
+	file_mb: *64 | number & >=0.1 & <=1048576
+	files:   *4 | int & >=1 & <=1000
+}
+
 // The front that accepts uwsgi; without it there is none.
 uwsgi?: #UWSGI
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/maphash"
 	"math"
@@ -48,6 +49,7 @@
 	Succeeded                 //
 	NotStarted                // nothing ran
 	Full                      // nothing ran: there was no room for it below, which may pass
+	Unkept                    // succeeded, with a result that can't be kept for repeats
 )
 
 // RPC is what a protocol has read.
@@ -79,11 +81,19 @@
 // line to line is in the detail, if there is one.
 type Log func(text, detail string)
 
+// Tracer hears of all that the decisions are told and say, under the gate's lock: it must not block. The actions are
+// valid until it returns. The token is the key of a tokened arrival, else "".
+type Tracer interface {
+	Begin(told *opening.Opening, cold bool, origin time.Time)
+	Event(now float64, ev control.Event, actions []control.Action, token string)
+}
+
 // Gate is one instance.
 type Gate struct {
-	log  Log
-	now  func() time.Time
-	told *opening.Opening
+	log   Log
+	now   func() time.Time
+	told  *opening.Opening
+	trace Tracer // nil for none
 
 	methods   map[string]int
 	customers map[string]int
@@ -102,6 +112,7 @@
 	keptKB   float64
 	todo     []control.Event // what the actions of one event brought about
 	draining bool
+	closed   bool
 	good     bool
 	idle     time.Duration
 	changed  chan struct{}
@@ -116,11 +127,15 @@
 	method   int
 	due      float64 // Unix ms
 	door     float64
-	key      string // of its token
-	joins    *token // whose result it waits for
-	verdicts chan Verdict
+	began    float64       // its run, by the module's clock
+	key      string        // of its token
+	joins    *token        // whose result it waits for
+	queue    [2]Verdict    // a run and a final one
+	put, got int           // in it so far
+	verdicts chan struct{} // has a value for each that was put and not got
 	running  bool
 	final    bool
+	told     Finisher // instead of a verdict in the channel, if the final one is not the run's own
 }
 
 // token is a try of a tokened RPC that repeats are told of. It is of the method, whatever front its tries come by.
@@ -176,6 +191,30 @@
 // clock is the module's time.
 func (g *Gate) clock(t time.Time) float64 { return float64(t.Sub(g.origin)) / 1e6 }
 
+// UseClock has the gate go by another clock. It must be called before anything else.
+func (g *Gate) UseClock(now func() time.Time) { g.now = now }
+
+// Trace has all decisions told to t. It must be called before Start.
+func (g *Gate) Trace(t Tracer) { g.trace = t }
+
+// ErrClosed is what Enter says once the gate is closed.
+var ErrClosed = errors.New("the gate is closed")
+
+// Close gives all that is in hand its final verdict and takes nothing more: what never ran is pushed back.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for _, t := range g.tickets {
+		k := t.joins
+		if t.running || k != nil && k.ran {
+			g.end(t, control.Reset, Verdict{Answer: Aborted, Why: "the server is closed"})
+		} else {
+			g.end(t, control.Reset, Verdict{Answer: PushedBack})
+		}
+	}
+}
+
 // Start begins the decisions: the work behind this server started a while ago, cold or warm. The time since
 // then is lived through at once, so that a ramp stands where it would.
 func (g *Gate) Start(cold bool, ago time.Duration) {
@@ -189,6 +228,9 @@
 	o := g.told
 	node := o.Node
 	node.Cold = cold
+	if g.trace != nil {
+		g.trace.Begin(o, cold, g.origin)
+	}
 	g.decide = control.New(node, o.Fleet, o.Below, o.Rules, o.Methods, o.Customers)
 	g.handle(0, control.Event{Kind: control.Begin})
 	for at := g.wake; cold && at <= math.Min(g.clock(now), node.WarmBy); at = g.wake {
@@ -213,6 +255,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.closed {
+		return nil, ErrClosed
+	}
 	// A second one under the id of an RPC in hand would get the result of the first, which it is not.
 	if _, open := g.ids[r.ID]; open {
 		return nil, fmt.Errorf("id: that of an RPC in hand, %.20q", r.ID)
@@ -225,7 +270,7 @@
 	deadline := g.told.Methods[m].Deadline
 	t := &Ticket{
 		g: g, name: r.ID, method: m, door: math.Min(r.Door, now),
-		verdicts: make(chan Verdict, 2), // a run and a final one
+		verdicts: make(chan struct{}, 2),
 	}
 	door := math.Max(t.door, now-deadline) // one that is older is past its deadline anyway
 	t.due = door + deadline
@@ -268,19 +313,32 @@
 // Wait blocks until the next verdict. If ctx ends before, the caller is taken to be gone.
 func (t *Ticket) Wait(ctx context.Context) Verdict {
 	select {
-	case v := <-t.verdicts:
-		return v
+	case <-t.verdicts:
 	case <-ctx.Done():
 		t.Leave()
-		return <-t.verdicts
+		<-t.verdicts
 	}
+	return t.take()
+}
+
+// take gets the verdict that a value in the channel stands for.
+func (t *Ticket) take() Verdict {
+	t.got++
+	return t.queue[t.got-1]
+}
+
+// give puts a verdict; it is called with the lock held.
+func (t *Ticket) give(v Verdict) {
+	t.queue[t.put] = v
+	t.put++
+	t.verdicts <- struct{}{}
 }
 
 // Now is the next verdict if it is there already.
 func (t *Ticket) Now() (v Verdict, there bool) {
 	select {
-	case v = <-t.verdicts:
-		return v, true
+	case <-t.verdicts:
+		return t.take(), true
 	default:
 		return v, false
 	}
@@ -315,25 +373,36 @@
 
 // ReportHead is Report with what the back put before the result: the head of an HTTP answer, say. It is kept and
 // handed on with the result, and never looked at here.
+// Spent is the time that the run took in ms; 0 for the time since it was asked for.
 func (t *Ticket) ReportHead(how Outcome, spent float64, head, result []byte) {
+	t.End(how, spent, head, result)
+}
+
+// End is ReportHead, and returns whether the verdict that the caller hears is that of the run.
+func (t *Ticket) End(how Outcome, spent float64, head, result []byte) bool {
 	g := t.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !t.running {
-		return
+		return false
 	}
 	t.running = false
-	outcome := [...]control.Outcome{control.Error, control.OK, control.Moot, control.Moot}[how]
+	if spent == 0 {
+		spent = g.clock(g.now()) - t.began
+	}
+	outcome := [...]control.Outcome{control.Error, control.OK, control.Moot, control.Moot, control.OK}[how]
 	if k := g.tokens[t.key]; k != nil && k.id == t.id {
 		if how == NotStarted || how == Full {
 			g.forget(k)
 		} else {
-			g.keep(k, how == Succeeded, head, result)
+			g.keep(k, how, head, result)
 			g.settle(k)
 		}
 	}
+	own := !t.final
+	t.told = nil // the verdict is the run's own
 	switch how {
-	case Succeeded:
+	case Succeeded, Unkept:
 		t.finish(Verdict{Answer: OK, Head: head, Result: result})
 	case Full:
 		t.finish(Verdict{Answer: PushedBack, Away: g.Advice(fullAway)})
@@ -342,6 +411,22 @@
 	}
 	g.drop(t)
 	g.handle(g.clock(g.now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
+	return own
+}
+
+// Finisher hears of a final verdict, under the gate's lock: it must not block, nor call the gate.
+type Finisher interface{ Final(Verdict) }
+
+// OnFinal has f told of the final verdict if that is not the run's own, instead of Wait returning it; at once if there
+// is one already.
+func (t *Ticket) OnFinal(f Finisher) {
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	if v, there := t.Now(); there {
+		f.Final(v)
+		return
+	}
+	t.told = f
 }
 
 // fullAway is the ms to stay away for one that found no room below: a few run times, in which a place comes free.
@@ -462,7 +547,15 @@
 		}
 	}()
 	for i := 0; i < len(g.todo); i++ {
-		for _, a := range g.decide.Handle(now, g.todo[i]) {
+		actions := g.decide.Handle(now, g.todo[i])
+		if g.trace != nil {
+			token := ""
+			if t := g.tickets[g.todo[i].RPC]; t != nil && g.todo[i].Kind == control.Arrive {
+				token = t.key
+			}
+			g.trace.Event(now, g.todo[i], actions, token)
+		}
+		for _, a := range actions {
 			g.carryOut(a)
 		}
 	}
@@ -550,8 +643,8 @@
 	if k != nil && k.id == t.id {
 		k.ran = true
 	}
-	t.running = true
-	t.verdicts <- Verdict{Answer: Run}
+	t.running, t.began = true, g.clock(g.now())
+	t.give(Verdict{Answer: Run})
 }
 
 // remember sets the token of a try; one that it takes over from is no longer named.
@@ -585,9 +678,12 @@
 
 // keep takes the end of a token's run, and its result if there is room for that. A repeat of one whose result is
 // not kept hears that it ran, and never runs.
-func (g *Gate) keep(k *token, ok bool, head, result []byte) {
-	k.over, k.ok = true, ok
-	if more := float64(len(head)+len(result)-plainResult) / 1024; ok && more > 0 {
+func (g *Gate) keep(k *token, how Outcome, head, result []byte) {
+	k.over, k.ok, k.large = true, how == Succeeded, how == Unkept
+	if !k.ok {
+		return
+	}
+	if more := float64(len(head)+len(result)-plainResult) / 1024; more > 0 {
 		most := keptMost * (g.keptKB + tokenKB*float64(len(g.tokens)))
 		if more > most || more > g.keptKB {
 			k.ok, k.large = false, true
@@ -643,7 +739,11 @@
 		return false
 	}
 	t.final = true
-	t.verdicts <- v
+	if t.told != nil {
+		t.told.Final(v)
+	} else {
+		t.give(v)
+	}
 	if !t.running {
 		t.g.drop(t)
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -74,7 +74,8 @@
 func (w *world) expect(t *Ticket, want Answer) Verdict {
 	w.Helper()
 	select {
-	case v := <-t.verdicts:
+	case <-t.verdicts:
+		v := t.take()
 		if v.Answer != want {
 			w.Fatalf("verdict %+v, want answer %d", v, want)
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,6 +36,8 @@
 type File struct {
 	Version string            `json:"version"`
 	Hold    Hold              `json:"hold"`
+	Limits  Limits            `json:"limits"`
+	Trace   *Trace            `json:"trace,omitempty"`
 	UWSGI   *UWSGI            `json:"uwsgi,omitempty"`
 	Routes  map[string]Route  `json:"routes,omitempty"`
 	Pools   map[string]Pool   `json:"pools,omitempty"`
@@ -46,6 +49,37 @@
 	SettledMs float64 `json:"settled_ms"` // after which one is not pushed back for another; 0 for no such time
 }
 
+// Limits go before those of the platform's settings.
+type Limits struct {
+	OverShare *float64           `json:"over_share,omitempty"`
+	RunsACore float64            `json:"runs_a_core,omitempty"`
+	Quotas    map[string]float64 `json:"quotas,omitempty"` // RPCs a second, by customer
+}
+
+// Apply puts the limits and the hold into settings.
+func (f *File) Apply(o *opening.Opening) {
+	o.Rules.Settle = f.Hold.SettledMs
+	if f.Limits.OverShare != nil {
+		o.Fleet.OverShare = *f.Limits.OverShare
+	}
+	if f.Limits.RunsACore > 0 {
+		o.Rules.Ceiling = f.Limits.RunsACore
+	}
+	o.Customers = slices.Clone(o.Customers)
+	for i := range o.Customers {
+		if q, has := f.Limits.Quotas[o.Customers[i].Name]; has {
+			o.Customers[i].Quota = q
+		}
+	}
+}
+
+// Trace is the recorder of what the decisions are told and say.
+type Trace struct {
+	Path   string  `json:"path"`
+	FileMB float64 `json:"file_mb"`
+	Files  int     `json:"files"`
+}
+
 // UWSGI is the front that accepts uwsgi.
 type UWSGI struct {
 	Listen     string  `json:"listen"`
@@ -246,6 +280,25 @@
 		bad("version", "a text of up to 64 bytes expected")
 	}
 	within("hold.settled_ms", f.Hold.SettledMs, 0, 60e3)
+	if f.Limits.OverShare != nil {
+		within("limits.over_share", *f.Limits.OverShare, 0, 1)
+	}
+	if f.Limits.RunsACore != 0 {
+		within("limits.runs_a_core", f.Limits.RunsACore, 1, 1000)
+	}
+	for _, name := range keys(f.Limits.Quotas) {
+		within(at("limits.quotas", name), f.Limits.Quotas[name], 0, 1e9)
+		if len(known.Customers) > 0 && !slices.Contains(known.Customers, name) {
+			bad(at("limits.quotas", name), "no customer of the settings")
+		}
+	}
+	if t := f.Trace; t != nil {
+		if t.Path == "" {
+			bad("trace.path", "a path expected")
+		}
+		within("trace.file_mb", t.FileMB, 0.1, 1<<20)
+		within("trace.files", float64(t.Files), 1, 1000)
+	}
 	if u := f.UWSGI; u != nil {
 		if !isAddress(u.Listen) {
 			bad("uwsgi.listen", "an IP address and a port, as 10.0.0.4:3031, expected, %.60q there", u.Listen)
@@ -398,6 +451,12 @@
 	if f.Hold != next.Hold {
 		all = append(all, "hold")
 	}
+	if !reflect.DeepEqual(f.Limits, next.Limits) {
+		all = append(all, "limits")
+	}
+	if !reflect.DeepEqual(f.Trace, next.Trace) {
+		all = append(all, "trace")
+	}
 	switch {
 	case (f.UWSGI == nil) != (next.UWSGI == nil):
 		all = append(all, "uwsgi")
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,312 @@
+// Package trace writes and reads what the decisions were told and what they said: every event, with its verdicts, but
+// no bodies, and tokens as hashes. A trace is a file of compressed, checksummed blocks of protobuf messages
+// (trace.proto); whoever reads it takes whole blocks and stops at the first that is not. The writer must never hold up
+// the decisions: what it can't keep up with is dropped and counted.
+package trace
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/opening"
+)
+
+// Version is that of the traces which this build writes. It reads no other: an older one is told from a damaged one.
+const Version = 1
+
+var (
+	ErrNoTrace = errors.New("no trace of sorrelvalve")
+	ErrVersion = errors.New("a trace of another version")
+	ErrTorn    = errors.New("the trace ends within a block")
+	ErrDamaged = errors.New("a block of the trace is damaged")
+)
+
+// Header is what a trace begins with: all that the decisions were made from.
+type Header struct {
+	Told   opening.Opening `json:"told"`
+	Cold   bool            `json:"cold"`
+	Origin float64         `json:"origin"` // Unix ms of the module's zero
+	Build  string          `json:"build"`
+}
+
+// Entry is one thing that happened, and what the decisions said to it.
+type Entry struct {
+	Now     float64 // ms of the module's clock
+	Event   control.Event
+	Token   uint64 // hash; 0 for none
+	Actions []control.Action
+	Dropped int // entries that were dropped before this one
+}
+
+// Keeps tells whether an action is one that traces bear: verdicts and joins; the rest follows from the events.
+func Keeps(a control.Action) bool {
+	return a.Do == control.Run || a.Do == control.PushBack || a.Do == control.Abort || a.Do == control.Join
+}
+
+// The fields of the messages, as in trace.proto.
+const (
+	fHeader = 1
+	fEntry  = 2
+
+	fNow, fKind, fRPC, fMethod, fCustomer, fCaller, fSubject, fOriginal = 1, 2, 3, 4, 5, 6, 7, 8
+	fTime, fWaited, fHint, fHeldKB, fRetry, fOutcome, fSpent, fLabel    = 9, 10, 11, 12, 13, 14, 15, 16
+	fCoreUse, fOnCores, fStale, fToken, fAction, fDropped               = 17, 18, 19, 20, 21, 22
+
+	fDo, fActionRPC, fActionTime, fLast = 1, 2, 3, 4
+)
+
+func appendNumber(b []byte, field protowire.Number, v float64) []byte {
+	if v == 0 {
+		return b
+	}
+	return protowire.AppendFixed64(protowire.AppendTag(b, field, protowire.Fixed64Type), math.Float64bits(v))
+}
+
+func appendUint(b []byte, field protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), v)
+}
+
+func appendBool(b []byte, field protowire.Number, v bool) []byte {
+	if !v {
+		return b
+	}
+	return appendUint(b, field, 1)
+}
+
+// appendEntry adds one entry as a message of the stream. scratch is used for its parts.
+func appendEntry(b []byte, e *Entry, scratch *[]byte) []byte {
+	m := (*scratch)[:0]
+	ev := &e.Event
+	m = appendNumber(m, fNow, e.Now)
+	m = appendUint(m, fKind, uint64(ev.Kind)+1) // so that Begin is told, too
+	m = appendUint(m, fRPC, uint64(ev.RPC))
+	m = appendUint(m, fMethod, uint64(ev.Method))
+	m = appendUint(m, fCustomer, uint64(ev.Customer))
+	m = appendUint(m, fCaller, uint64(ev.Caller))
+	m = appendUint(m, fSubject, ev.Subject)
+	m = appendUint(m, fOriginal, uint64(ev.Original))
+	m = appendNumber(m, fTime, ev.Time)
+	m = appendNumber(m, fWaited, ev.Waited)
+	m = appendNumber(m, fHint, ev.Hint)
+	m = appendNumber(m, fHeldKB, ev.HeldKB)
+	m = appendBool(m, fRetry, ev.Retry)
+	m = appendUint(m, fOutcome, uint64(ev.Outcome))
+	m = appendNumber(m, fSpent, ev.Spent)
+	m = appendUint(m, fLabel, ev.Label)
+	m = appendNumber(m, fCoreUse, ev.Gauges.CoreUse)
+	m = appendNumber(m, fOnCores, ev.Gauges.OnCores)
+	m = appendBool(m, fStale, ev.Gauges.Stale)
+	m = appendUint(m, fToken, e.Token)
+	m = appendUint(m, fDropped, uint64(e.Dropped))
+	for _, a := range e.Actions {
+		if !Keeps(a) {
+			continue
+		}
+		var own [32]byte
+		x := appendUint(own[:0], fDo, uint64(a.Do)+1)
+		x = appendUint(x, fActionRPC, uint64(a.RPC))
+		x = appendNumber(x, fActionTime, a.Time)
+		x = appendBool(x, fLast, a.Last)
+		m = protowire.AppendBytes(protowire.AppendTag(m, fAction, protowire.BytesType), x)
+	}
+	*scratch = m
+	return protowire.AppendBytes(protowire.AppendTag(b, fEntry, protowire.BytesType), m)
+}
+
+func appendHeader(b []byte, h *Header) ([]byte, error) {
+	text, err := json.Marshal(h)
+	return protowire.AppendBytes(protowire.AppendTag(b, fHeader, protowire.BytesType), text), err
+}
+
+// fields walks over a message; each gets a number as it stood, or the bytes.
+func fields(m []byte, each func(f protowire.Number, v uint64, b []byte) error) error {
+	for len(m) > 0 {
+		f, kind, n := protowire.ConsumeTag(m)
+		if n < 0 {
+			return ErrDamaged
+		}
+		m = m[n:]
+		var v uint64
+		var b []byte
+		switch kind {
+		case protowire.VarintType:
+			v, n = protowire.ConsumeVarint(m)
+		case protowire.Fixed64Type:
+			v, n = protowire.ConsumeFixed64(m)
+		case protowire.BytesType:
+			b, n = protowire.ConsumeBytes(m)
+		default: // of a later build
+			n = protowire.ConsumeFieldValue(f, kind, m)
+		}
+		if n < 0 {
+			return ErrDamaged
+		}
+		m = m[n:]
+		if err := each(f, v, b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// parseEntry reads one entry. Its actions are appended to those given.
+func parseEntry(m []byte, actions []control.Action) (e Entry, err error) {
+	ev := &e.Event
+	e.Actions = actions
+	err = fields(m, func(f protowire.Number, v uint64, b []byte) error {
+		x := math.Float64frombits(v)
+		switch f {
+		case fNow:
+			e.Now = x
+		case fKind:
+			if v == 0 || v > uint64(control.Timer)+1 {
+				return ErrDamaged
+			}
+			ev.Kind = control.Kind(v - 1)
+		case fRPC:
+			ev.RPC = uint32(v)
+		case fMethod:
+			ev.Method = int(v)
+		case fCustomer:
+			ev.Customer = int(v)
+		case fCaller:
+			ev.Caller = uint16(v)
+		case fSubject:
+			ev.Subject = v
+		case fOriginal:
+			ev.Original = uint32(v)
+		case fTime:
+			ev.Time = x
+		case fWaited:
+			ev.Waited = x
+		case fHint:
+			ev.Hint = x
+		case fHeldKB:
+			ev.HeldKB = x
+		case fRetry:
+			ev.Retry = v != 0
+		case fOutcome:
+			if v > uint64(control.Moot) {
+				return ErrDamaged
+			}
+			ev.Outcome = control.Outcome(v)
+		case fSpent:
+			ev.Spent = x
+		case fLabel:
+			ev.Label = v
+		case fCoreUse:
+			ev.Gauges.CoreUse = x
+		case fOnCores:
+			ev.Gauges.OnCores = x
+		case fStale:
+			ev.Gauges.Stale = v != 0
+		case fToken:
+			e.Token = v
+		case fDropped:
+			e.Dropped = int(v)
+		case fAction:
+			a := control.Action{}
+			err := fields(b, func(f protowire.Number, v uint64, _ []byte) error {
+				switch f {
+				case fDo:
+					a.Do = control.Do(v - 1)
+				case fActionRPC:
+					a.RPC = uint32(v)
+				case fActionTime:
+					a.Time = math.Float64frombits(v)
+				case fLast:
+					a.Last = v != 0
+				}
+				return nil
+			})
+			if err != nil {
+				return err
+			}
+			e.Actions = append(e.Actions, a)
+		}
+		return nil
+	})
+	for _, x := range [...]float64{e.Now, ev.Time, ev.Waited, ev.Hint, ev.HeldKB, ev.Spent} {
+		if math.IsNaN(x) || math.IsInf(x, 0) {
+			err = ErrDamaged
+		}
+	}
+	return e, err
+}
+
+// A block is its magic, the sizes of what is in it as it stands and unpacked, and a checksum; then the packed bytes.
+const (
+	blockHead = 16
+	maxBlock  = 256 << 10 // unpacked: what a reader sets aside for one
+)
+
+var (
+	fileMagic  = []byte("SVTRACE\x01")
+	blockMagic = uint32(0x5356424b)
+	table      = crc32.MakeTable(crc32.Castagnoli)
+)
+
+func appendBlockHead(b []byte, packed []byte, raw int) []byte {
+	b = binary.LittleEndian.AppendUint32(b, blockMagic)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(packed)))
+	b = binary.LittleEndian.AppendUint32(b, uint32(raw))
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(packed, table))
+}
+
+// Hash is how a token stands in a trace.
+func Hash(key string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(key) {
+		h = (h ^ uint64(key[i])) * 1099511628211
+	}
+	return max(1, h)
+}
+
+// String shows an entry in one line.
+func (e *Entry) String() string {
+	kinds := [...]string{"begin", "arrive", "left", "ended", "wait", "called", "notice", "timer"}
+	s := fmt.Sprintf("%12.3f %-6s", e.Now, kinds[e.Event.Kind])
+	ev := &e.Event
+	switch ev.Kind {
+	case control.Arrive:
+		s += fmt.Sprintf(" rpc %d method %d customer %d caller %d waited %.1f hint %.1f", ev.RPC, ev.Method, ev.Customer, ev.Caller, ev.Waited, ev.Hint)
+		if ev.Retry {
+			s += " again"
+		}
+		if ev.Original != 0 {
+			s += fmt.Sprintf(" repeats %d", ev.Original)
+		}
+	case control.Ended, control.Left:
+		s += fmt.Sprintf(" rpc %d outcome %d spent %.1f", ev.RPC, ev.Outcome, ev.Spent)
+	case control.Timer:
+		s += fmt.Sprintf(" cores %.2f on them %.0f", ev.Gauges.CoreUse, ev.Gauges.OnCores)
+	case control.Notice:
+		s += fmt.Sprintf(" stop in %.0f", ev.Time)
+	}
+	for _, a := range e.Actions {
+		switch a.Do {
+		case control.Run:
+			s += fmt.Sprintf("; run %d", a.RPC)
+		case control.PushBack:
+			s += fmt.Sprintf("; push back %d for %.0f", a.RPC, a.Time)
+		case control.Abort:
+			s += fmt.Sprintf("; abort %d", a.RPC)
+		case control.Join:
+			s += fmt.Sprintf("; join %d", a.RPC)
+		}
+	}
+	if e.Dropped > 0 {
+		s += fmt.Sprintf("; %d dropped before", e.Dropped)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,310 @@
+package trace
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/opening"
+)
+
+func header() *Header {
+	return &Header{Told: opening.Opening{Methods: []control.Method{{Name: "view", LatencyTarget: 100}}, Gauges: []string{"core_use"}}, Cold: true, Origin: 5, Build: "b"}
+}
+
+func entry(i int) Entry {
+	chance := rand.New(rand.NewSource(int64(i)))
+	e := Entry{Now: chance.Float64() * 1e6, Token: chance.Uint64()}
+	e.Event = control.Event{
+		Kind: control.Kind(i % int(control.Timer+1)), RPC: uint32(i), Method: i % 3, Customer: i % 5, Caller: uint16(i), Subject: chance.Uint64(),
+		Original: uint32(i / 2), Time: chance.Float64(), Waited: -chance.Float64(), Hint: chance.ExpFloat64(), HeldKB: 1, Retry: i%2 == 0,
+		Outcome: control.Outcome(i % int(control.Moot+1)), Spent: float64(i), Label: uint64(i),
+		Gauges: control.Gauges{Stale: i%7 == 0, CoreUse: 0.5, OnCores: 3},
+	}
+	for k := range i % 4 {
+		e.Actions = append(e.Actions, control.Action{Do: []control.Do{control.Run, control.PushBack, control.Abort, control.Join}[k], RPC: uint32(k), Time: float64(k), Last: k%2 == 0})
+	}
+	return e
+}
+
+func record(t *testing.T, path string, n int, b Bounds) {
+	t.Helper()
+	w, err := Create(path, header(), b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		e := entry(i)
+		w.Event(e.Now, e.Event, append(e.Actions, control.Action{Do: control.Arm}), e.Token)
+		for len(w.full) > waiting/2 { // the disk keeps up in this test
+			time.Sleep(time.Millisecond)
+		}
+	}
+	w.Close()
+	w.Event(1, control.Event{}, nil, 0) // does nothing
+	w.Close()
+	if w.Dropped.Load()+w.Failed.Load() > 0 {
+		t.Fatalf("%d dropped, %d failed", w.Dropped.Load(), w.Failed.Load())
+	}
+}
+
+func all(r *Reader) (got []Entry, err error) {
+	for {
+		e, err := r.Next()
+		if err != nil {
+			return got, err
+		}
+		e.Actions = append([]control.Action(nil), e.Actions...)
+		got = append(got, e)
+	}
+}
+
+func TestRoundTrip(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "t")
+	const n = 5000
+	record(t, path, n, Bounds{FileBytes: 1 << 30, Files: 1})
+	r, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	if !reflect.DeepEqual(r.Header, *header()) {
+		t.Errorf("header %+v", r.Header)
+	}
+	got, err := all(r)
+	if err != io.EOF || len(got) != n {
+		t.Fatalf("%d entries, error %v", len(got), err)
+	}
+	for i, e := range got {
+		if want := entry(i); !reflect.DeepEqual(e, want) {
+			t.Fatalf("entry %d: %+v, want %+v", i, e, want)
+		}
+	}
+}
+
+// Files are rotated, so many are kept, and read as one.
+func TestRotation(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "t")
+	record(t, path, 20000, Bounds{FileBytes: 100 << 10, Files: 3})
+	files := Files(path)
+	if len(files) != 3 || files[2] != path {
+		t.Fatalf("files %v", files)
+	}
+	r, err := Open(files...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := all(r)
+	if err != io.EOF || len(got) < 2000 {
+		t.Fatalf("%d entries, error %v", len(got), err)
+	}
+	for i, e := range got {
+		if e.Event.RPC != uint32(20000-len(got)+i) {
+			t.Fatalf("entry %d is %d", i, e.Event.RPC)
+		}
+	}
+}
+
+// Whatever is wrong with a file: it is told, and what was whole before is read.
+func TestDamage(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "t")
+	record(t, path, 5000, Bounds{FileBytes: 1 << 30, Files: 1})
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name   string
+		change func(b []byte) []byte
+		begin  error // of opening
+		want   error // of reading on
+		least  int
+	}{
+		{"nothing there", func([]byte) []byte { return nil }, ErrNoTrace, nil, 0},
+		{"another file", func([]byte) []byte { return []byte("{\"name\":\"x\"}") }, ErrNoTrace, nil, 0},
+		{"an older version", func(b []byte) []byte { b[7] = 0; return b }, ErrVersion, nil, 0},
+		{"cut within the header", func(b []byte) []byte { return b[:20] }, ErrTorn, nil, 0},
+		{"a header that is damaged", func(b []byte) []byte { b[40] ^= 1; return b }, ErrDamaged, nil, 0},
+		{"cut within the last block", func(b []byte) []byte { return b[:len(b)-100] }, nil, ErrTorn, 2000},
+		{"cut within a block's head", func(b []byte) []byte { return append(b, 1, 2, 3) }, nil, ErrTorn, 5000},
+		{"a bit of the last block", func(b []byte) []byte { b[len(b)-100] ^= 4; return b }, nil, ErrDamaged, 2000},
+		{"zeros behind it", func(b []byte) []byte { return append(b, make([]byte, 4096)...) }, nil, ErrDamaged, 5000},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := &Reader{}
+			err := r.Begin(bytes.NewReader(c.change(bytes.Clone(whole))))
+			if !errors.Is(err, c.begin) {
+				t.Fatalf("error %v, want %v", err, c.begin)
+			}
+			if c.begin != nil {
+				return
+			}
+			got, err := all(r)
+			if !errors.Is(err, c.want) || len(got) < c.least {
+				t.Errorf("%d entries, error %v, want %v", len(got), err, c.want)
+			}
+		})
+	}
+}
+
+// disk is a file that is full after some bytes, or that blocks.
+type disk struct {
+	room  int
+	block chan struct{}
+	buf   *bytes.Buffer
+	mu    *sync.Mutex
+}
+
+func (d *disk) Write(b []byte) (int, error) {
+	if d.block != nil {
+		<-d.block
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := min(len(b), d.room)
+	d.room -= n
+	d.buf.Write(b[:n])
+	if n < len(b) {
+		return n, errors.New("no space")
+	}
+	return n, nil
+}
+
+func (d *disk) Close() error { return nil }
+
+// A full disk costs blocks, which are counted; who tells of events never waits for it.
+func TestDiskFull(t *testing.T) {
+	var mu sync.Mutex
+	buf := &bytes.Buffer{}
+	opened := 0
+	w, err := create("t", header(), Bounds{FileBytes: 1 << 30, Files: 1}, func(string) (File, error) {
+		if opened++; opened > 1 {
+			return nil, errors.New("no space")
+		}
+		return &disk{room: 60 << 10, buf: buf, mu: &mu}, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 20000 {
+		e := entry(i)
+		w.Event(e.Now, e.Event, e.Actions, 0)
+		for len(w.full) == waiting {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	w.Close()
+	if w.Failed.Load() == 0 {
+		t.Error("nothing failed")
+	}
+	r := &Reader{}
+	if err := r.Begin(buf); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := all(r); err != ErrTorn || len(got) == 0 {
+		t.Errorf("%d entries, error %v", len(got), err)
+	}
+}
+
+// A disk that stalls holds nobody up: entries are dropped, and the next one that is taken says how many.
+func TestDiskStalls(t *testing.T) {
+	var mu sync.Mutex
+	buf := &bytes.Buffer{}
+	d := &disk{room: 1 << 30, buf: buf, mu: &mu}
+	w, err := create("t", header(), Bounds{FileBytes: 1 << 30, Files: 1}, func(string) (File, error) { return d, nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	block := make(chan struct{})
+	d.block = block
+	const n = 40000
+	for i := range n {
+		e := entry(i)
+		w.Event(e.Now, e.Event, e.Actions, 0)
+	}
+	if w.Dropped.Load() == 0 {
+		t.Fatal("nothing dropped")
+	}
+	close(block)
+	for len(w.full) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.Event(1, control.Event{}, nil, 0) // which says how many were dropped before it
+	w.Close()
+	r := &Reader{}
+	if err := r.Begin(buf); err != nil {
+		t.Fatal(err)
+	}
+	got, err := all(r)
+	told := 0
+	for _, e := range got {
+		told += e.Dropped
+	}
+	if err != io.EOF || told == 0 || uint64(len(got))+w.Dropped.Load() != n+1 {
+		t.Errorf("%d entries, %d dropped, %d told, error %v", len(got), w.Dropped.Load(), told, err)
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	path := filepath.Join(f.TempDir(), "t")
+	w, err := Create(path, header(), Bounds{FileBytes: 1 << 30, Files: 1})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for i := range 20 {
+		e := entry(i)
+		w.Event(e.Now, e.Event, e.Actions, e.Token)
+	}
+	w.Close()
+	b, _ := os.ReadFile(path)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := &Reader{}
+		if r.Begin(bytes.NewReader(b)) != nil {
+			return
+		}
+		for n := 0; n < 1e5; n++ {
+			if _, err := r.Next(); err != nil {
+				return
+			}
+		}
+	})
+}
+
+func FuzzEntry(f *testing.F) {
+	var scratch []byte
+	for i := range 8 {
+		e := entry(i)
+		f.Add(appendEntry(nil, &e, &scratch)[3:])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, err := parseEntry(b, nil)
+		if err == nil && e.String() == "" {
+			t.Error("nothing to show")
+		}
+	})
+}
+
+func BenchmarkEvent(b *testing.B) {
+	w, err := create("t", header(), Bounds{FileBytes: 1 << 40, Files: 1}, func(string) (File, error) {
+		return &disk{room: 1 << 62, buf: &bytes.Buffer{}, mu: &sync.Mutex{}}, nil
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	e := entry(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Event(e.Now, e.Event, e.Actions, e.Token)
+	}
+	w.Close()
+}
