--- /dev/null
+++ b/valve/observe.go
@@ -0,0 +1,88 @@
+package valve
+
+// This file owns what a program can watch a Valve by: each event as it happens, and a trace of all of them. It must never
+// let a watcher hold up the decisions.
+
+import (
+	"time"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/trace"
+)
+
+// What happened.
+type What int
+
+const (
+	Arrived  What = iota // an RPC was admitted to the decisions
+	Began                // its run was asked for
+	Joined               // it waits for the try that it repeats
+	Pushed               // it was pushed back
+	GivenUp              // it was aborted
+	Withdrew             // its caller left
+	Ended                // its run or join ended
+)
+
+// Observed is one thing that happened. RPC numbers count from 1 for each Valve.
+type Observed struct {
+	At     time.Duration // since the Valve began
+	What   What
+	RPC    uint32
+	Method string // Arrived
+}
+
+// Trace says where all that the decisions are told and say is recorded: no bodies, tokens as hashes. The file is read by
+// the daemon's trace commands.
+type Trace struct {
+	Path      string
+	FileBytes int64       // the next file begins when one is so long; 64 MiB if 0
+	Files     int         // that are kept; 4 if 0
+	Failed    func(error) // hears that the file can't be written; may be nil
+}
+
+// watch is the gate's tracer.
+type watch struct {
+	see     func(Observed)
+	rec     *trace.Recorder
+	methods []string
+}
+
+func (w *watch) Begin(told *opening.Opening, cold bool, origin time.Time) {
+	for _, m := range told.Methods {
+		w.methods = append(w.methods, m.Name)
+	}
+	if w.rec != nil {
+		w.rec.Begin(told, cold, origin)
+	}
+}
+
+func (w *watch) Event(now float64, ev control.Event, actions []control.Action, token string) {
+	if w.rec != nil {
+		w.rec.Event(now, ev, actions, token)
+	}
+	if w.see == nil {
+		return
+	}
+	at := time.Duration(now * float64(time.Millisecond))
+	switch ev.Kind {
+	case control.Arrive:
+		w.see(Observed{at, Arrived, ev.RPC, w.methods[ev.Method]})
+	case control.Left:
+		w.see(Observed{At: at, What: Withdrew, RPC: ev.RPC})
+	case control.Ended:
+		w.see(Observed{At: at, What: Ended, RPC: ev.RPC})
+	}
+	for _, a := range actions {
+		switch a.Do {
+		case control.Run:
+			w.see(Observed{At: at, What: Began, RPC: a.RPC})
+		case control.Join:
+			w.see(Observed{At: at, What: Joined, RPC: a.RPC})
+		case control.PushBack:
+			w.see(Observed{At: at, What: Pushed, RPC: a.RPC})
+		case control.Abort:
+			w.see(Observed{At: at, What: GivenUp, RPC: a.RPC})
+		}
+	}
+}
--- /dev/null
+++ b/valve/valve.go
@@ -0,0 +1,442 @@
+// Package valve embeds sorrelvalve's overload control in a Go program: for every RPC it decides whether to take it,
+// when to run it and how to turn it away, by the same decisions as the daemon, and keeps the same four rules. No RPC is
+// lost: each that Admit takes gets one final answer by its due time. No effect happens twice: a tokened RPC runs once
+// within its window. A drain ends in time. And nothing grows without bound.
+//
+// A program makes a Valve for each machine or process it runs on, calls Admit for every RPC before it does the work,
+// and ends each Run that it was given. Package httpvalve does that for net/http, ginvalve for gin.
+//
+// All of a Valve may be used by many goroutines at once.
+package valve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"sorrelvalve/control"
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/trace"
+)
+
+// Repeat says whether an RPC of a method may run again.
+type Repeat int
+
+const (
+	Idempotent    Repeat = iota // may run again
+	Tokened                     // bears a token by which a repeat is known
+	NonIdempotent               // must never run twice, and bears no token
+)
+
+// Method is one that the program serves.
+type Method struct {
+	Name          string
+	Repeat        Repeat
+	LatencyTarget time.Duration // its answer is wanted within this; 1 s if 0
+	Deadline      time.Duration // its client gives up after this; twice the latency target if 0
+	Window        time.Duration // Tokened: a repeat may come this long after the first try's arrival
+	Criticality   float64       // what an answer in time counts for; 1 if 0
+	LateShare     float64       // the part of that which an answer between latency target and deadline keeps
+}
+
+// Customer is one on whose behalf RPCs come. RPCs beyond its quota count for less, and are the first to go.
+type Customer struct {
+	Name  string
+	Quota float64 // RPCs a second, over all servers of the fleet
+}
+
+// Gauges are the machine's. CoreUse is the share of the cores that was busy over the last half second, OnCores the
+// work that has or wants a core now.
+type Gauges struct{ CoreUse, OnCores float64 }
+
+// Options are what a Valve is made from. The zero value of a field has the default named beside it.
+type Options struct {
+	Methods   []Method   // at least one
+	Customers []Customer // none: RPCs name no customer
+
+	Cores   int   // that the RPCs run on; GOMAXPROCS
+	Memory  int64 // bytes that they may take, running and held; 1 GiB
+	Kept    int64 // bytes that kept results of tokened RPCs may take; 16 MiB
+	Callers int   // processes that call this one, as far as known; 4
+	Servers int   // in the fleet, this one included; 1
+
+	Cold   bool          // just started and not yet at full speed: callers are taken in a rising share
+	WarmBy time.Duration // after which a cold one is at full speed; 20 s
+
+	RetryAfter time.Duration // longest advice to stay away that callers heed; 0 for none
+	OverShare  float64       // what an RPC beyond its customer's quota keeps of its criticality; 1
+	Grace      time.Duration // after Drain, in which RPCs are still taken; 2 s
+	RunsACore  float64       // at most, however they wait; 8
+	Settle     time.Duration // after which a held RPC is not pushed back for another; 0 for no such time
+
+	Seed   uint64                    // of all chance; the same seed and events give the same verdicts
+	Clock  func() time.Time          // nil: time.Now, and the Valve ticks by itself; else the program calls Tick
+	Gauges func() (Gauges, bool)     // nil: those of this process; false: not to be had just now
+	Log    func(text, detail string) // nil: nothing is said
+
+	Observe func(Observed) // hears of each event, under a lock: it must not block, nor call the Valve; may be nil
+	Trace   *Trace         // nil: nothing is recorded
+}
+
+// Valve is one instance.
+type Valve struct {
+	g       *gate.Gate
+	methods map[string]Method
+	clock   func() time.Time
+	gauges  func() (Gauges, bool)
+	rec     *trace.Recorder
+	stop    chan struct{}
+	ended   sync.WaitGroup
+	closing sync.Once
+}
+
+// RPC is what Admit is told.
+type RPC struct {
+	Method   string
+	Customer string
+	Caller   uint64        // a hash of who calls: the ramp of a cold start goes by it
+	Subject  uint64        // a hash of what it is about; 0 for none
+	Token    string        // the same in all tries of a tokened RPC
+	Body     []byte        // Tokened: by which two tries are known to be the same; it is not kept
+	Arrived  time.Time     // when it reached the machine; now if zero
+	Work     time.Duration // expected on one core; 0 if it is not known
+	Memory   int64         // bytes that it takes while it is held; 16 KiB if 0
+	Retry    bool          // marked as a further try
+}
+
+// Answer is a whole one, kept for the repeats of a tokened RPC. Head is what the program puts before the body, in a
+// form of its own.
+type Answer struct{ Head, Body []byte }
+
+// Outcome is what became of a run.
+type Outcome int
+
+const (
+	Failed     Outcome = iota // it may have had its effect
+	Succeeded                 //
+	NotStarted                // nothing ran
+	Full                      // nothing ran: there was no room for it, which may pass
+)
+
+// What Admit's errors are, for errors.Is.
+var (
+	ErrPushedBack = errors.New("valve: pushed back") // it never ran; a *PushedBack tells when to return
+	ErrAborted    = errors.New("valve: aborted")     // an *Aborted tells why
+	ErrSenseless  = errors.New("valve: no sense")    // the method, customer or token is wrong
+	ErrClosed     = errors.New("valve: closed")
+)
+
+// PushedBack is the error for an RPC that never ran.
+type PushedBack struct {
+	After time.Duration // the caller should stay away so long; 0 for no advice
+	Last  bool          // it should not go elsewhere: others are full, too
+}
+
+func (e *PushedBack) Error() string {
+	return fmt.Sprintf("valve: pushed back, return after %v", e.After)
+}
+
+// Is makes errors.Is(err, ErrPushedBack) true.
+func (e *PushedBack) Is(target error) bool { return target == ErrPushedBack }
+
+// Aborted is the error for an RPC that gets no result.
+type Aborted struct {
+	Why  string
+	Late bool // its answer was due
+}
+
+func (e *Aborted) Error() string { return "valve: aborted: " + e.Why }
+
+// Is makes errors.Is(err, ErrAborted) true.
+func (e *Aborted) Is(target error) bool { return target == ErrAborted }
+
+// New returns a Valve that takes RPCs at once, and must be closed. The error names the option at fault.
+func New(o Options) (*Valve, error) {
+	told, err := o.opening()
+	if err != nil {
+		return nil, err
+	}
+	log := gate.Log(func(string, string) {})
+	if o.Log != nil {
+		log = o.Log
+	}
+	kept := int64(16 << 20)
+	if o.Kept > 0 {
+		kept = o.Kept
+	}
+	v := &Valve{
+		methods: map[string]Method{}, clock: time.Now, gauges: o.Gauges, stop: make(chan struct{}),
+		g: gate.New(told, int(max(1, kept>>18)), log), // the gate keeps a quarter of what it is told
+	}
+	for _, m := range o.Methods {
+		v.methods[m.Name] = m
+	}
+	if o.Clock != nil {
+		v.clock = o.Clock
+		v.g.UseClock(o.Clock)
+	}
+	if v.gauges == nil {
+		v.gauges = newOwnGauges(told.Node.Cores).read
+	}
+	if t := o.Trace; t != nil {
+		failed := t.Failed
+		if failed == nil {
+			failed = func(error) {}
+		}
+		v.rec = trace.NewRecorder(t.Path, trace.Bounds{FileBytes: positive(t.FileBytes, 64<<20), Files: positive(t.Files, 4)}, "library", failed)
+	}
+	if o.Observe != nil || v.rec != nil {
+		v.g.Trace(&watch{see: o.Observe, rec: v.rec})
+	}
+	v.g.Start(o.Cold, 0)
+	if o.Clock == nil {
+		v.ended.Add(1)
+		go v.ticks()
+	}
+	return v, nil
+}
+
+func positive[T int | int64 | float64 | time.Duration](v, missing T) T {
+	if v == 0 {
+		return missing
+	}
+	return v
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// opening turns options into what the gate is told.
+func (o *Options) opening() (*opening.Opening, error) {
+	if len(o.Methods) == 0 {
+		return nil, errors.New("valve: Methods: at least one expected")
+	}
+	for name, v := range map[string]float64{
+		"Cores": float64(o.Cores), "Memory": float64(o.Memory), "Kept": float64(o.Kept), "Callers": float64(o.Callers),
+		"Servers": float64(o.Servers), "WarmBy": float64(o.WarmBy), "RetryAfter": float64(o.RetryAfter), "Grace": float64(o.Grace),
+		"RunsACore": o.RunsACore, "Settle": float64(o.Settle), "OverShare": o.OverShare,
+	} {
+		if !(v >= 0) || math.IsInf(v, 0) {
+			return nil, fmt.Errorf("valve: %s: a number from 0 up expected, %g there", name, v)
+		}
+	}
+	t := &opening.Opening{
+		Node: control.Node{
+			Seed: o.Seed, StartSpeed: 0.2, WarmBy: millis(positive(o.WarmBy, 20*time.Second)), Cores: positive(o.Cores, cores()),
+			MemKB: float64(positive(o.Memory, 1<<30)) / 1024, RunFactor: 1, KeyKB: 0, Tick: 1,
+		},
+		Fleet: control.Fleet{
+			Peers: positive(o.Servers, 1), Callers: positive(o.Callers, 4), Marks: true, Heeded: 1000, Idle: 30e3,
+			MaxRetryAfter: millis(o.RetryAfter), OverShare: positive(o.OverShare, 1),
+		},
+		Rules:  control.Rules{DrainGrace: millis(positive(o.Grace, 2*time.Second)), Ceiling: positive(o.RunsACore, 8), Settle: millis(o.Settle)},
+		Gauges: []string{"core_use", "on_cores"},
+		Slack:  80, // ms: two ticks, in which what is due is answered
+	}
+	seen := map[string]bool{}
+	for i, m := range o.Methods {
+		bad := func(key, want string) error {
+			return fmt.Errorf("valve: Methods[%d] (%s): %s: %s expected", i, m.Name, key, want)
+		}
+		switch {
+		case m.Name == "" || seen[m.Name]:
+			return nil, bad("Name", "one of its own")
+		case m.LatencyTarget < 0 || m.Deadline < 0 || m.Window < 0:
+			return nil, bad("LatencyTarget, Deadline, Window", "a time from 0 up")
+		case !(m.Criticality >= 0) || math.IsInf(m.Criticality, 0):
+			return nil, bad("Criticality", "a number from 0 up")
+		case !(m.LateShare >= 0 && m.LateShare <= 1):
+			return nil, bad("LateShare", "a number from 0 to 1")
+		case m.Repeat < Idempotent || m.Repeat > NonIdempotent:
+			return nil, bad("Repeat", "Idempotent, Tokened or NonIdempotent")
+		case m.Repeat == Tokened && m.Window == 0:
+			return nil, bad("Window", "how long a repeat may come")
+		}
+		seen[m.Name] = true
+		target := positive(m.LatencyTarget, time.Second)
+		t.Methods = append(t.Methods, control.Method{
+			Name: m.Name, Repeat: control.Repeat(m.Repeat), LatencyTarget: millis(target),
+			Deadline: millis(positive(m.Deadline, 2*target)), Window: millis(m.Window), Criticality: positive(m.Criticality, 1),
+			LateShare: m.LateShare,
+		})
+	}
+	for i, c := range o.Customers {
+		if c.Name == "" || !(c.Quota >= 0) || math.IsInf(c.Quota, 0) {
+			return nil, fmt.Errorf("valve: Customers[%d]: a name and a quota from 0 up expected", i)
+		}
+		t.Customers = append(t.Customers, control.Customer{Name: c.Name, Quota: c.Quota})
+	}
+	return t, nil
+}
+
+// Admit asks for one RPC and blocks while it is held. It returns a Run that must be ended, or one that is a repeat and
+// has its answer already (see Run.Kept), or an error: a *PushedBack, an *Aborted, ErrSenseless, or ctx's own if that
+// ended first, in which case nothing runs.
+func (v *Valve) Admit(ctx context.Context, r RPC) (*Run, error) {
+	now := v.clock()
+	if r.Arrived.IsZero() {
+		r.Arrived = now
+	}
+	if r.Memory == 0 {
+		r.Memory = 16 << 10
+	}
+	t, err := v.g.Enter(gate.RPC{
+		Method: r.Method, Customer: r.Customer, Body: r.Body, Token: r.Token, Subject: r.Subject, Retry: r.Retry,
+		Caller: uint16(r.Caller ^ r.Caller>>16 ^ r.Caller>>32 ^ r.Caller>>48),
+		Door:   float64(r.Arrived.UnixNano()) / 1e6, Hint: millis(r.Work), HeldKB: float64(r.Memory) / 1024,
+	})
+	if errors.Is(err, gate.ErrClosed) {
+		return nil, ErrClosed
+	} else if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSenseless, err)
+	}
+	switch d := t.Wait(ctx); d.Answer {
+	case gate.Run:
+		return &Run{v: v, t: t}, nil
+	case gate.OK:
+		return &Run{kept: &Answer{d.Head, d.Result}}, nil
+	case gate.Gone:
+		return nil, ctx.Err()
+	default:
+		return nil, errorOf(d)
+	}
+}
+
+// errorOf is the error that tells of a final verdict.
+func errorOf(d gate.Verdict) error {
+	switch d.Answer {
+	case gate.PushedBack:
+		return &PushedBack{After: time.Duration(d.Away * float64(time.Millisecond)), Last: d.Last}
+	case gate.Aborted:
+		return &Aborted{Why: d.Why, Late: d.Late}
+	}
+	return nil
+}
+
+// Run is an RPC that runs, or a repeat that has its answer.
+type Run struct {
+	v    *Valve
+	t    *gate.Ticket
+	kept *Answer
+
+	final Finisher
+}
+
+// Kept is the answer of the try that this one repeats. There is nothing to run then, and End does nothing.
+func (r *Run) Kept() (Answer, bool) {
+	if r.kept == nil {
+		return Answer{}, false
+	}
+	return *r.kept, true
+}
+
+// Due is when the answer must have been given; the zero time for a repeat.
+func (r *Run) Due() time.Time {
+	if r.t == nil {
+		return time.Time{}
+	}
+	return time.UnixMicro(int64(r.t.Due() * 1000))
+}
+
+// Finisher hears of an end that a Valve gave.
+type Finisher interface{ Final(error) }
+
+// Notify has f told if the Valve gives the RPC an end before End does: as its answer is due, or the Valve closes. The
+// program must answer with that error then, and still call End when the work is over, which counts until then. f must
+// not block, nor call the Valve. Notify must be called before End, and once.
+func (r *Run) Notify(f Finisher) {
+	if r.t != nil {
+		r.final = f
+		r.t.OnFinal((*notified)(r))
+	}
+}
+
+// notified is a Run as the gate tells it of its end.
+type notified Run
+
+func (r *notified) Final(d gate.Verdict) {
+	if err := errorOf(d); err != nil {
+		r.final.Final(err)
+	}
+}
+
+// Leave tells that the caller no longer waits; End is still owed.
+func (r *Run) Leave() {
+	if r.t != nil {
+		r.t.Leave()
+	}
+}
+
+// End tells what became of the run. It returns false if the Valve had given the RPC an end before: its caller has been
+// answered, and must not be again. Of a tokened RPC that succeeded the answer is kept for its repeats, the caller of
+// which must not change it after. The first End counts.
+func (r *Run) End(how Outcome, a Answer) bool { return r.end(gate.Outcome(how), a) }
+
+// EndUnkept is End for one that succeeded with an answer that can't be kept: its repeats hear that it ran.
+func (r *Run) EndUnkept() bool { return r.end(gate.Unkept, Answer{}) }
+
+func (r *Run) end(how gate.Outcome, a Answer) bool {
+	if r.t == nil {
+		return false
+	}
+	return r.t.End(how, 0, a.Head, a.Body)
+}
+
+// ticks moves the clock of the decisions until Close.
+func (v *Valve) ticks() {
+	defer v.ended.Done()
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-v.stop:
+			return
+		case <-t.C:
+		}
+		t.Reset(v.Tick())
+	}
+}
+
+// Tick moves the clock of the decisions on and returns the time until it should be called next. A Valve without a
+// Clock of its own does it by itself.
+func (v *Valve) Tick() time.Duration {
+	g, known := v.gauges()
+	if !known {
+		return v.g.Tick(nil)
+	}
+	return v.g.Tick([]float64{g.CoreUse, g.OnCores})
+}
+
+// Drain tells that the program will stop after a while: what arrives past the grace is pushed back, and all is answered
+// before the stop. It does not block.
+func (v *Valve) Drain(stop time.Duration) { v.g.Drain(stop) }
+
+// Good is what a health check should be told.
+func (v *Valve) Good() bool { return v.g.Good() }
+
+// InHand is the number of RPCs that have no final answer, or a run that has not ended.
+func (v *Valve) InHand() int { return v.g.InHand() }
+
+// Method returns what the Valve was told of a method.
+func (v *Valve) Method(name string) (Method, bool) { m, has := v.methods[name]; return m, has }
+
+// Advice bounds advice of the program's own to what callers heed.
+func (v *Valve) Advice(away time.Duration) time.Duration {
+	return time.Duration(v.g.Advice(millis(away)) * float64(time.Millisecond))
+}
+
+// Close ends the Valve: what is held is pushed back, what runs is aborted as far as its caller goes, and nothing more is
+// taken. No goroutine of it is left then. Call Drain and wait before, so that nothing is cut short.
+func (v *Valve) Close() {
+	v.closing.Do(func() {
+		close(v.stop)
+		v.ended.Wait()
+		v.g.Close()
+		if v.rec != nil {
+			v.rec.Close()
+		}
+	})
+}
--- /dev/null
+++ b/valve/valve_test.go
@@ -0,0 +1,326 @@
+package valve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// clock is one that a test moves.
+type clock struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (c *clock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
+// pass lets time go by, with a tick each 10 ms.
+func (c *clock) pass(v *Valve, d time.Duration) {
+	for end := c.now().Add(d); c.now().Before(end); {
+		c.mu.Lock()
+		c.at = c.at.Add(10 * time.Millisecond)
+		c.mu.Unlock()
+		v.Tick()
+	}
+}
+
+func open(t *testing.T, change ...func(*Options)) (*Valve, *clock) {
+	c := &clock{at: time.UnixMilli(1_700_000_000_000)}
+	o := Options{
+		Methods: []Method{{Name: "view", LatencyTarget: time.Second}, {Name: "buy", LatencyTarget: time.Second, Repeat: Tokened, Window: 8 * time.Second, Criticality: 3}},
+		Cores:   1, Clock: c.now, RetryAfter: time.Second, Gauges: func() (Gauges, bool) { return Gauges{}, false },
+	}
+	for _, f := range change {
+		f(&o)
+	}
+	v, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(v.Close)
+	return v, c
+}
+
+// later is an Admit that may be held.
+func later(v *Valve, ctx context.Context, r RPC) <-chan struct {
+	*Run
+	error
+} {
+	got := make(chan struct {
+		*Run
+		error
+	}, 1)
+	before := v.InHand()
+	go func() {
+		run, err := v.Admit(ctx, r)
+		got <- struct {
+			*Run
+			error
+		}{run, err}
+	}()
+	for v.InHand() == before && len(got) == 0 {
+		runtime.Gosched()
+	}
+	return got
+}
+
+type finisher func(error)
+
+func (f finisher) Final(err error) { f(err) }
+
+func TestAdmit(t *testing.T) {
+	ctx := context.Background()
+	must := func(t *testing.T, v *Valve, r RPC) *Run {
+		t.Helper()
+		run, err := v.Admit(ctx, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return run
+	}
+	cases := []struct {
+		name string
+		do   func(t *testing.T, v *Valve, c *clock)
+	}{
+		{"a run, ended once", func(t *testing.T, v *Valve, _ *clock) {
+			r := must(t, v, RPC{Method: "view"})
+			if !r.End(Succeeded, Answer{}) || r.End(Failed, Answer{}) || v.InHand() != 0 {
+				t.Errorf("%d in hand", v.InHand())
+			}
+		}},
+		{"held until the first ends", func(t *testing.T, v *Valve, _ *clock) {
+			a := must(t, v, RPC{Method: "view"})
+			b := later(v, ctx, RPC{Method: "view"})
+			if len(b) > 0 {
+				t.Fatal("not held")
+			}
+			a.End(Succeeded, Answer{})
+			if got := <-b; got.error != nil {
+				t.Error(got.error)
+			} else {
+				got.End(Succeeded, Answer{})
+			}
+		}},
+		{"its context ends while it is held", func(t *testing.T, v *Valve, _ *clock) {
+			a := must(t, v, RPC{Method: "view"})
+			ctx, end := context.WithCancel(ctx)
+			b := later(v, ctx, RPC{Method: "view"})
+			end()
+			if got := <-b; !errors.Is(got.error, context.Canceled) {
+				t.Error(got.error)
+			}
+			a.End(Succeeded, Answer{})
+		}},
+		{"pushed back when it is late for its target", func(t *testing.T, v *Valve, c *clock) {
+			a := must(t, v, RPC{Method: "view"})
+			b := later(v, ctx, RPC{Method: "view"})
+			c.pass(v, 1500*time.Millisecond)
+			got := <-b
+			var p *PushedBack
+			if !errors.Is(got.error, ErrPushedBack) || !errors.As(got.error, &p) || p.After <= 0 {
+				t.Error(got.error)
+			}
+			a.End(Succeeded, Answer{})
+		}},
+		{"given up when due, its run counts until it ends", func(t *testing.T, v *Valve, c *clock) {
+			r := must(t, v, RPC{Method: "view"})
+			var got error
+			r.Notify(finisher(func(err error) { got = err }))
+			c.pass(v, 1900*time.Millisecond)
+			if got != nil {
+				t.Fatal(got)
+			}
+			c.pass(v, 100*time.Millisecond)
+			var a *Aborted
+			if !errors.As(got, &a) || !a.Late || !errors.Is(got, ErrAborted) || v.InHand() != 1 {
+				t.Errorf("error %v, %d in hand", got, v.InHand())
+			}
+			if r.End(Succeeded, Answer{}) || v.InHand() != 0 {
+				t.Errorf("%d in hand", v.InHand())
+			}
+		}},
+		{"repeats get the answer that was kept", func(t *testing.T, v *Valve, _ *clock) {
+			a := must(t, v, RPC{Method: "buy", Token: "k", Body: []byte("x")})
+			b := later(v, ctx, RPC{Method: "buy", Token: "k", Body: []byte("x")})
+			a.End(Succeeded, Answer{[]byte("h"), []byte("done")})
+			for _, r := range []*Run{(<-b).Run, must(t, v, RPC{Method: "buy", Token: "k", Body: []byte("x")})} {
+				if kept, is := r.Kept(); !is || string(kept.Body) != "done" || string(kept.Head) != "h" || r.End(Failed, Answer{}) {
+					t.Errorf("kept %+v", kept)
+				}
+			}
+			if _, err := v.Admit(ctx, RPC{Method: "buy", Token: "k", Body: []byte("y")}); !errors.Is(err, ErrSenseless) {
+				t.Error(err)
+			}
+		}},
+		{"an answer that can't be kept: repeats hear that it ran", func(t *testing.T, v *Valve, _ *clock) {
+			must(t, v, RPC{Method: "buy", Token: "k"}).EndUnkept()
+			var a *Aborted
+			if _, err := v.Admit(ctx, RPC{Method: "buy", Token: "k"}); !errors.As(err, &a) || !strings.Contains(a.Why, "has run") {
+				t.Error(err)
+			}
+		}},
+		{"no room below", func(t *testing.T, v *Valve, _ *clock) {
+			r := must(t, v, RPC{Method: "buy", Token: "k"})
+			r.End(Full, Answer{})
+			must(t, v, RPC{Method: "buy", Token: "k"}).End(Succeeded, Answer{})
+		}},
+		{"what makes no sense", func(t *testing.T, v *Valve, _ *clock) {
+			for _, r := range []RPC{{Method: "sell"}, {Method: "buy"}} {
+				if _, err := v.Admit(ctx, r); !errors.Is(err, ErrSenseless) {
+					t.Error(err)
+				}
+			}
+		}},
+		{"past the drain's grace", func(t *testing.T, v *Valve, c *clock) {
+			v.Drain(5 * time.Second)
+			must(t, v, RPC{Method: "view"}).End(Succeeded, Answer{})
+			c.pass(v, 2100*time.Millisecond)
+			if _, err := v.Admit(ctx, RPC{Method: "view"}); !errors.Is(err, ErrPushedBack) || v.Good() {
+				t.Error(err)
+			}
+		}},
+		{"closed while one runs and one is held", func(t *testing.T, v *Valve, _ *clock) {
+			a := must(t, v, RPC{Method: "view"})
+			told := make(chan error, 1)
+			a.Notify(finisher(func(err error) { told <- err }))
+			b := later(v, ctx, RPC{Method: "view"})
+			v.Close()
+			if got := <-b; !errors.Is(got.error, ErrPushedBack) {
+				t.Error(got.error)
+			}
+			if err := <-told; !errors.Is(err, ErrAborted) {
+				t.Error(err)
+			}
+			if _, err := v.Admit(ctx, RPC{Method: "view"}); !errors.Is(err, ErrClosed) {
+				t.Error(err)
+			}
+			if a.End(Succeeded, Answer{}) || v.InHand() != 0 {
+				t.Errorf("%d in hand", v.InHand())
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v, clock := open(t)
+			c.do(t, v, clock)
+		})
+	}
+}
+
+func TestOptions(t *testing.T) {
+	for want, change := range map[string]func(*Options){
+		"Methods: at least one": func(o *Options) { o.Methods = nil },
+		"Name: one of its own":  func(o *Options) { o.Methods[1].Name = "view" },
+		"Window: how long":      func(o *Options) { o.Methods[1].Window = 0 },
+		"Criticality":           func(o *Options) { o.Methods[0].Criticality = -1 },
+		"LateShare":             func(o *Options) { o.Methods[0].LateShare = 2 },
+		"Memory":                func(o *Options) { o.Memory = -1 },
+		"Customers[0]":          func(o *Options) { o.Customers = []Customer{{}} },
+	} {
+		o := Options{Methods: []Method{{Name: "view"}, {Name: "buy", Repeat: Tokened, Window: time.Second}}}
+		change(&o)
+		if _, err := New(o); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("error %v, want %q", err, want)
+		}
+	}
+}
+
+// Several valves in one process go by themselves, take what comes from many goroutines, and leave none behind.
+func TestByItself(t *testing.T) {
+	var all []*Valve
+	for range 3 {
+		v, err := New(Options{Methods: []Method{{Name: "view"}}, Cores: 4, RunsACore: 64})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, v)
+	}
+	var wg sync.WaitGroup
+	for _, v := range all {
+		for range 8 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for range 200 {
+					r, err := v.Admit(context.Background(), RPC{Method: "view"})
+					if err != nil {
+						continue
+					}
+					runtime.Gosched()
+					r.End(Succeeded, Answer{})
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	for _, v := range all {
+		if v.InHand() != 0 {
+			t.Errorf("%d in hand", v.InHand())
+		}
+		v.Close()
+		v.Close()
+	}
+}
+
+// What the gauges say of a process that spins, and of one that waits.
+func TestGauges(t *testing.T) {
+	g := newOwnGauges(1)
+	look := func(d time.Duration, spin bool) (got Gauges) {
+		for end := time.Now().Add(d); time.Now().Before(end); {
+			if spin {
+				for range 1000 {
+				}
+			} else {
+				time.Sleep(20 * time.Millisecond)
+			}
+			if x, known := g.read(); known {
+				got = x
+			}
+			if spin {
+				for stop := time.Now().Add(20 * time.Millisecond); time.Now().Before(stop); {
+				}
+			}
+		}
+		return got
+	}
+	if busy := look(700*time.Millisecond, true); busy.CoreUse < 0.3 {
+		t.Errorf("busy %+v", busy)
+	}
+	if idle := look(700*time.Millisecond, false); idle.CoreUse > 0.3 {
+		t.Errorf("idle %+v", idle)
+	}
+}
+
+func ExampleValve_Admit() {
+	v, err := New(Options{Methods: []Method{{Name: "account-view", LatencyTarget: 500 * time.Millisecond}}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer v.Close()
+	run, err := v.Admit(context.Background(), RPC{Method: "account-view"})
+	var pushed *PushedBack
+	switch {
+	case errors.As(err, &pushed):
+		fmt.Println("return after", pushed.After)
+	case err != nil:
+		fmt.Println(err)
+	default:
+		fmt.Println("runs")
+		run.End(Succeeded, Answer{})
+	}
+	// Output: runs
+}
