--- a/cmd/valvelab/main.go
+++ b/cmd/valvelab/main.go
@@ -19,12 +19,16 @@
 
 var experiments = []experiment{
 	{"uwsgi-mixed", "both protocols at 120% of one machine: past the valve, a plain queue, the valve", lab.Mixed},
+	{"parity", "one sequence of arrivals through the daemon and through gin, on a virtual clock and in real time", lab.Parity},
+	{"embedded", "a gin program at 150% of its cores: bare, behind a semaphore, behind the valve", lab.Embedded},
 	{"pools", "five uwsgi members of which one turns bad and recovers, beside round robin without ejection", lab.Pools},
 }
 
 type command struct {
 	List listCmd `cmd:"" help:"List the experiments."`
 	Run  runCmd  `cmd:"" help:"Run one."`
+
+	Program programCmd `cmd:"" hidden:"" help:"The program of the experiment embedded."`
 }
 
 type listCmd struct{}
@@ -36,6 +40,12 @@
 	return nil
 }
 
+type programCmd struct {
+	Way string `arg:""`
+}
+
+func (c programCmd) Run() error { return lab.Program(c.Way) }
+
 type runCmd struct {
 	Name  string `arg:"" help:"Its name, as list tells it."`
 	Quick bool   `help:"In a short form, within 45 s."`
