A durable store of tokens: begun before a run, ended before the answer, over any crash

A topup-buy repeated after a restart within its window ran again. internal/store is a log of segments dropped whole, with one write and sync for all that has gathered; choose/recovery says what entries mean and what may begin while the disk fails. The gate asks for a tokened run only once its record is synced and answers only once its end is; what can't be remembered is pushed back, what may have run is aborted. Tested on a disk that tears, flips, fills, stalls, fails syncs and loses power at any step, and as store and gate against a plain model with crashes between any two steps.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"sorrelvalve/choose/recovery"
 	"sorrelvalve/control"
 	"sorrelvalve/internal/opening"
 )
@@ -88,12 +89,23 @@
 	Event(now float64, ev control.Event, actions []control.Action, token string)
 }
 
+// Keeper keeps what happened to tokens over restarts. Find may read a disk and is called without the gate's lock; the
+// others are called under it and must not block. done is called later, from another goroutine.
+type Keeper interface {
+	Hash(body []byte) uint64
+	Find(key string, body uint64, door float64) (says recovery.Says, head, result []byte)
+	May() *recovery.Refusal // reserves room for one run; each is to be used by one Begin
+	Begin(key string, body uint64, until float64, done func(error))
+	End(key string, state recovery.State, body uint64, until float64, head, result []byte, done func(error))
+}
+
 // Gate is one instance.
 type Gate struct {
 	log   Log
 	now   func() time.Time
 	told  *opening.Opening
 	trace Tracer // nil for none
+	store Keeper // nil for none
 
 	methods   map[string]int
 	customers map[string]int
@@ -133,7 +145,11 @@
 	queue    [2]Verdict    // a run and a final one
 	put, got int           // in it so far
 	verdicts chan struct{} // has a value for each that was put and not got
+	stored   uint64        // hash of the body for the store
+	away     float64       // ms: the store's advice
 	running  bool
+	begun    bool // on disk
+	keeping  bool // its end is on its way there
 	final    bool
 	told     Finisher // instead of a verdict in the channel, if the final one is not the run's own
 }
@@ -194,6 +210,9 @@
 // UseClock has the gate go by another clock. It must be called before anything else.
 func (g *Gate) UseClock(now func() time.Time) { g.now = now }
 
+// Keep has tokens kept by k. It must be called before Start.
+func (g *Gate) Keep(k Keeper) { g.store = k }
+
 // Trace has all decisions told to t. It must be called before Start.
 func (g *Gate) Trace(t Tracer) { g.trace = t }
 
@@ -253,6 +272,10 @@
 	if tokened && r.Token == "" {
 		return nil, fmt.Errorf("method %s: a token expected, none there", r.Method)
 	}
+	var stored stored
+	if tokened && g.store != nil {
+		stored = g.recall(r)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed {
@@ -280,6 +303,24 @@
 			return nil, fmt.Errorf("token: its first try had another body")
 		}
 	}
+	if tokened && g.store != nil {
+		t.stored = stored.body
+		if k := g.tokens[t.key]; k == nil || t.door >= k.until {
+			switch stored.says { // a try before the start of this process is told of what happened to it
+			case recovery.OtherBody:
+				return nil, fmt.Errorf("token: its first try had another body")
+			case recovery.Answer:
+				t.finish(Verdict{Answer: OK, Head: stored.head, Result: stored.result})
+				return t, nil
+			case recovery.MayRun:
+				t.finish(Verdict{Answer: Aborted, Why: "it may have run"})
+				return t, nil
+			case recovery.HasRun:
+				t.finish(Verdict{Answer: Aborted, Why: "the try that it repeats has run; its result was too large to keep"})
+				return t, nil
+			}
+		}
+	}
 	if g.decide == nil || tokened && g.tokens[t.key] == nil && g.keptKB < tokenKB {
 		t.finish(Verdict{Answer: PushedBack})
 		return t, nil
@@ -301,6 +342,28 @@
 	return t, nil
 }
 
+// stored is what the store knows of a token.
+type stored struct {
+	says         recovery.Says
+	body         uint64
+	head, result []byte
+}
+
+// recall asks the store for a token that this process does not know.
+func (g *Gate) recall(r RPC) (s stored) {
+	s.body = g.store.Hash(r.Body)
+	key := r.Method + "\x00" + r.Token
+	g.mu.Lock()
+	now := unixMs(g.now())
+	k := g.tokens[key]
+	known := k != nil && r.Door < k.until
+	g.mu.Unlock()
+	if !known {
+		s.says, s.head, s.result = g.store.Find(key, s.body, math.Min(r.Door, now))
+	}
+	return s
+}
+
 // Pick enters an RPC and blocks until its first verdict. If ctx ends before, the caller is taken to be gone.
 func (g *Gate) Pick(ctx context.Context, r RPC) (*Ticket, Verdict, error) {
 	t, err := g.Enter(r)
@@ -378,7 +441,8 @@
 	t.End(how, spent, head, result)
 }
 
-// End is ReportHead, and returns whether the verdict that the caller hears is that of the run.
+// End is ReportHead, and returns whether the verdict that the caller hears is that of the run. With a store it is heard
+// once the end is on disk, and the return value tells only that no other verdict had been given by then.
 func (t *Ticket) End(how Outcome, spent float64, head, result []byte) bool {
 	g := t.g
 	g.mu.Lock()
@@ -390,7 +454,41 @@
 	if spent == 0 {
 		spent = g.clock(g.now()) - t.began
 	}
+	own := !t.final
+	if t.begun {
+		t.keep(how, head, result)
+	} else {
+		t.over(how, head, result)
+	}
 	outcome := [...]control.Outcome{control.Error, control.OK, control.Moot, control.Moot, control.OK}[how]
+	g.handle(g.clock(g.now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
+	return own
+}
+
+// keep has the end of a run that was begun on disk written there, and gives the verdict once it is. An end that can't
+// be made durable is told as one that may have run: that is what a repeat would hear after a restart.
+func (t *Ticket) keep(how Outcome, head, result []byte) {
+	g := t.g
+	k := g.tokens[t.key]
+	if k == nil || k.id != t.id { // its token has been dropped meanwhile: its window is over
+		k = &token{until: t.door + g.told.Methods[t.method].Window}
+	}
+	state := [...]recovery.State{recovery.Failed, recovery.Done, recovery.Forgotten, recovery.Forgotten, recovery.Unkept}[how]
+	t.keeping = true
+	g.store.End(t.key, state, t.stored, k.until, head, result, func(err error) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		t.keeping = false
+		if err != nil && (how == Succeeded || how == Unkept) {
+			how = Failed
+		}
+		t.over(how, head, result)
+	})
+}
+
+// over gives the verdict of a run that has ended, to its caller and to those that joined it.
+func (t *Ticket) over(how Outcome, head, result []byte) {
+	g := t.g
 	if k := g.tokens[t.key]; k != nil && k.id == t.id {
 		if how == NotStarted || how == Full {
 			g.forget(k)
@@ -399,19 +497,16 @@
 			g.settle(k)
 		}
 	}
-	own := !t.final
 	t.told = nil // the verdict is the run's own
 	switch how {
 	case Succeeded, Unkept:
 		t.finish(Verdict{Answer: OK, Head: head, Result: result})
 	case Full:
-		t.finish(Verdict{Answer: PushedBack, Away: g.Advice(fullAway)})
+		t.finish(Verdict{Answer: PushedBack, Away: g.Advice(math.Max(fullAway, t.away))})
 	default:
 		t.finish(Verdict{Answer: Aborted, Why: "the run failed"})
 	}
 	g.drop(t)
-	g.handle(g.clock(g.now()), control.Event{Kind: control.Ended, RPC: t.id, Outcome: outcome, Spent: spent})
-	return own
 }
 
 // Finisher hears of a final verdict, under the gate's lock: it must not block, nor call the gate.
@@ -640,11 +735,43 @@
 		g.ended(t, Verdict{Answer: Aborted, Why: "another try has run"})
 		return
 	}
-	if k != nil && k.id == t.id {
-		k.ran = true
-	}
 	t.running, t.began = true, g.clock(g.now())
-	t.give(Verdict{Answer: Run})
+	if k == nil || k.id != t.id || g.store == nil {
+		if k != nil && k.id == t.id {
+			k.ran = true
+		}
+		t.give(Verdict{Answer: Run})
+		return
+	}
+	if no := g.store.May(); no != nil { // what can't be remembered is not run
+		t.away = no.After
+		t.notRun()
+		return
+	}
+	k.ran = true // it may have, from here on
+	g.store.Begin(t.key, t.stored, k.until, func(err error) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		switch {
+		case err != nil:
+			k.ran = false
+			t.notRun()
+		case t.final: // its caller has left, or was answered: nothing runs any more
+			k.ran = false
+			g.store.End(t.key, recovery.Forgotten, t.stored, k.until, nil, nil, func(error) {})
+			t.notRun()
+		default:
+			t.begun = true
+			t.give(Verdict{Answer: Run})
+		}
+	})
+}
+
+// notRun ends a run that the store has kept from beginning.
+func (t *Ticket) notRun() {
+	t.running = false
+	t.over(Full, nil, nil)
+	t.g.later(control.Event{Kind: control.Ended, RPC: t.id, Outcome: control.Moot})
 }
 
 // remember sets the token of a try; one that it takes over from is no longer named.
@@ -744,7 +871,7 @@
 	} else {
 		t.give(v)
 	}
-	if !t.running {
+	if !t.running && !t.keeping {
 		t.g.drop(t)
 	}
 	return true
--- /dev/null
+++ b/internal/store/compare/compare_test.go
@@ -0,0 +1,138 @@
+// Package compare measures the store beside libraries that could have been it: each is asked for a token that begins and
+// ends, durable both times, by many at once. It holds no code of the product.
+package compare
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2"
+	"go.etcd.io/bbolt"
+
+	"sorrelvalve/choose/recovery"
+	"sorrelvalve/internal/store"
+)
+
+// kept is what each must do.
+type kept interface {
+	put(key uint64, value []byte) error // durable when it returns
+	close() error
+}
+
+type logStore struct{ s *store.Store }
+
+func (l logStore) put(key uint64, value []byte) error {
+	done := make(chan error, 1)
+	l.s.End(store.Print{key, key}, recovery.Done, 1, 2e12, nil, value, func(err error) { done <- err })
+	return <-done
+}
+func (l logStore) close() error { return l.s.Close() }
+
+type bolt struct{ db *bbolt.DB }
+
+var bucket = []byte("tokens")
+
+func (b bolt) put(key uint64, value []byte) error {
+	return b.db.Batch(func(tx *bbolt.Tx) error {
+		return tx.Bucket(bucket).Put(binary.BigEndian.AppendUint64(nil, key), value)
+	})
+}
+func (b bolt) close() error { return b.db.Close() }
+
+type pebbles struct{ db *pebble.DB }
+
+func (p pebbles) put(key uint64, value []byte) error {
+	return p.db.Set(binary.BigEndian.AppendUint64(nil, key), value, pebble.Sync)
+}
+func (p pebbles) close() error { return p.db.Close() }
+
+func open(name, dir string) (kept, error) {
+	switch name {
+	case "log":
+		fs, err := store.OpenDir(dir)
+		if err != nil {
+			return nil, err
+		}
+		s, err := store.Open(fs, store.Bounds{Bytes: 4 << 30, Segment: 8 << 20, Answer: 16 << 10, Window: 1e9, Tolerance: 1000}, "n",
+			func() float64 { return float64(time.Now().UnixMilli()) }, func(string, error) {})
+		return logStore{s}, err
+	case "bbolt":
+		db, err := bbolt.Open(filepath.Join(dir, "db"), 0o600, nil)
+		if err != nil {
+			return nil, err
+		}
+		db.MaxBatchDelay = time.Millisecond // the default of 10 ms is all latency here
+		return bolt{db}, db.Update(func(tx *bbolt.Tx) error { _, err := tx.CreateBucketIfNotExists(bucket); return err })
+	}
+	db, err := pebble.Open(dir, &pebble.Options{Logger: quiet{}})
+	return pebbles{db}, err
+}
+
+type quiet struct{}
+
+func (quiet) Infof(string, ...any)      {}
+func (quiet) Errorf(string, ...any)     {}
+func (quiet) Fatalf(f string, a ...any) { panic(fmt.Sprintf(f, a...)) }
+
+func sizeOf(dir string) (n int64) {
+	filepath.Walk(dir, func(_ string, i os.FileInfo, err error) error {
+		if err == nil && !i.IsDir() {
+			n += i.Size()
+		}
+		return nil
+	})
+	return n
+}
+
+// One token is a record as it begins and one of 512 bytes as it ends; 32 buyers at once.
+func BenchmarkToken(b *testing.B) {
+	for _, name := range []string{"log", "bbolt", "pebble"} {
+		b.Run(name, func(b *testing.B) {
+			dir := b.TempDir()
+			k, err := open(name, dir)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var next atomic.Uint64
+			var wg sync.WaitGroup
+			left := atomic.Int64{}
+			left.Store(int64(b.N))
+			answer := make([]byte, 512)
+			for i := range answer {
+				answer[i] = byte(i * 31)
+			}
+			b.ResetTimer()
+			for range 32 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for left.Add(-1) >= 0 {
+						key := next.Add(1) * 0x9e3779b97f4a7c15
+						if k.put(key, nil) != nil || k.put(key, answer) != nil {
+							b.Error("not kept")
+							return
+						}
+					}
+				}()
+			}
+			wg.Wait()
+			b.StopTimer()
+			b.ReportMetric(float64(sizeOf(dir))/float64(b.N), "disk-B/op")
+			if err := k.close(); err != nil {
+				b.Fatal(err)
+			}
+			began := time.Now()
+			if k, err = open(name, dir); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(time.Since(began).Microseconds())/1000, "reopen-ms")
+			k.close()
+		})
+	}
+}
--- /dev/null
+++ b/internal/store/gate_test.go
@@ -0,0 +1,293 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/stand"
+	"sorrelvalve/internal/store"
+)
+
+const told = "classes.count=2\nclasses.0.name=view\nclasses.0.aim=1000000000\nclasses.0.give_up=2000000000\n" +
+	"classes.1.name=buy\nclasses.1.aim=1000000000\nclasses.1.give_up=2000000000\nclasses.1.idempotency=idempotency_key\nclasses.1.window=8000000000\n" +
+	"family_info.cores=64\nfamily_info.ram_kb=1000000\nrules.tip_multiple=8\nlimits.max_retry_after=60000000000\n"
+
+// server is a gate whose tokens are kept on a disk that fails.
+type server struct {
+	*rig
+	g *gate.Gate
+}
+
+func serve(t interface{ Fatalf(string, ...any) }) *server {
+	s := &server{rig: &rig{t: t, disk: stand.NewDisk(1), b: usual, at: 1.7e12}}
+	s.b.Window = 10e3
+	s.restart()
+	return s
+}
+
+// restart opens store and gate anew, as a process does.
+func (s *server) restart() {
+	s.must()
+	o, err := opening.Parse(told)
+	if err != nil {
+		s.t.Fatalf("%v", err)
+	}
+	s.g = gate.New(o, 64, func(string, string) {})
+	s.g.UseClock(func() time.Time { return time.UnixMilli(int64(s.now())) })
+	s.g.Keep(store.Keeper{Store: s.s})
+	s.g.Start(false, 0)
+}
+
+func (s *server) crash() {
+	s.disk.PowerOff()
+	s.s.Close()
+	s.disk.Set(func(d *stand.Disk) { d.FailSyncs, d.Stall = 0, 0 })
+	s.restart()
+}
+
+func (s *server) enter(key, body string) (*gate.Ticket, error) {
+	return s.g.Enter(gate.RPC{Method: "buy", Token: key, Body: []byte(body), Door: s.now(), HeldKB: 10, Hint: 100})
+}
+
+// verdict is the next one, in short.
+func (s *server) verdict(t *gate.Ticket) string {
+	ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
+	defer end()
+	switch v := t.Wait(ctx); v.Answer {
+	case gate.Run:
+		return "run"
+	case gate.OK:
+		return "ok " + string(v.Result)
+	case gate.PushedBack:
+		return "pushed back"
+	case gate.Aborted:
+		return "aborted"
+	}
+	return "gone"
+}
+
+func (s *server) try(key, body string) (*gate.Ticket, string) {
+	t, err := s.enter(key, body)
+	if err != nil {
+		return nil, "no sense"
+	}
+	return t, s.verdict(t)
+}
+
+func TestGateCases(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(s *server) string
+		want string
+	}{
+		{"a repeat after a crash gets the first answer", func(s *server) string {
+			a, _ := s.try("k", "x")
+			a.Report(gate.Succeeded, 1, []byte("done"))
+			first := s.verdict(a)
+			s.crash()
+			_, again := s.try("k", "x")
+			return first + ", " + again
+		}, "ok done, ok done"},
+		{"with another body it makes no sense", func(s *server) string {
+			a, _ := s.try("k", "x")
+			a.Report(gate.Succeeded, 1, []byte("done"))
+			s.verdict(a)
+			s.crash()
+			_, again := s.try("k", "y")
+			return again
+		}, "no sense"},
+		{"a crash while it runs: it may have run", func(s *server) string {
+			s.try("k", "x")
+			s.crash()
+			_, again := s.try("k", "x")
+			_, more := s.try("k", "x")
+			return again + ", " + more
+		}, "aborted, aborted"},
+		{"and may run once its window is over", func(s *server) string {
+			s.try("k", "x")
+			s.crash()
+			s.pass(9000)
+			_, again := s.try("k", "x")
+			return again
+		}, "run"},
+		{"a crash between its end and the sync", func(s *server) string {
+			a, _ := s.try("k", "x")
+			s.disk.Set(func(d *stand.Disk) { d.Stall = 20 * time.Millisecond })
+			a.Report(gate.Succeeded, 1, []byte("done"))
+			s.crash()
+			first := s.verdict(a)
+			_, again := s.try("k", "x")
+			return first + ", " + again
+		}, "aborted, aborted"},
+		{"a sync that fails at its end: its caller hears what a repeat will", func(s *server) string {
+			a, _ := s.try("k", "x")
+			s.disk.Set(func(d *stand.Disk) { d.FailSyncs = 1 })
+			a.Report(gate.Succeeded, 1, []byte("done"))
+			first := s.verdict(a)
+			s.crash()
+			_, again := s.try("k", "x")
+			return first + ", " + again
+		}, "aborted, aborted"},
+		{"a sync that fails at its beginning: pushed back, and it may run later", func(s *server) string {
+			s.disk.Set(func(d *stand.Disk) { d.FailSyncs = 1 })
+			_, first := s.try("k", "x")
+			s.crash()
+			_, again := s.try("k", "x")
+			return first + ", " + again
+		}, "pushed back, run"},
+		{"a full store pushes back what is tokened, and nothing else", func(s *server) string {
+			s.b.Bytes = 3000
+			s.crash()
+			var last string
+			for i := range 5 {
+				_, last = s.try(fmt.Sprint(i), "x")
+			}
+			v, err := s.g.Enter(gate.RPC{Method: "view", Door: s.now(), HeldKB: 10, Hint: 100})
+			if err != nil {
+				return err.Error()
+			}
+			return last + ", " + s.verdict(v)
+		}, "pushed back, run"},
+		{"a stalled disk: what is tokened waits, and nothing else", func(s *server) string {
+			s.disk.Set(func(d *stand.Disk) { d.Stall = 200 * time.Millisecond })
+			a, err := s.enter("k", "x")
+			if err != nil {
+				return err.Error()
+			}
+			began := time.Now()
+			v, err := s.g.Enter(gate.RPC{Method: "view", Door: s.now(), HeldKB: 10, Hint: 100})
+			if err != nil {
+				return err.Error()
+			}
+			first := s.verdict(v)
+			if time.Since(began) > 150*time.Millisecond {
+				return "it waited"
+			}
+			return first + ", " + s.verdict(a)
+		}, "run, run"},
+		{"a stalled disk past the due time: answered then, and never run", func(s *server) string {
+			s.disk.Set(func(d *stand.Disk) { d.Stall = 300 * time.Millisecond })
+			a, err := s.enter("k", "x")
+			if err != nil {
+				return err.Error()
+			}
+			s.pass(2100)
+			s.g.Tick(nil)
+			first := s.verdict(a)
+			s.disk.Set(func(d *stand.Disk) { d.Stall = 0 })
+			for end := time.Now().Add(10 * time.Second); s.g.InHand() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					return "still in hand"
+				}
+			}
+			if _, there := a.Now(); there {
+				return "a second verdict"
+			}
+			return first
+		}, "aborted"},
+		{"its caller leaves while it is being begun: it never runs, and a repeat may", func(s *server) string {
+			s.disk.Set(func(d *stand.Disk) { d.Stall = 50 * time.Millisecond })
+			a, err := s.enter("k", "x")
+			if err != nil {
+				return err.Error()
+			}
+			a.Leave()
+			first := s.verdict(a)
+			s.disk.Set(func(d *stand.Disk) { d.Stall = 0 })
+			for end := time.Now().Add(10 * time.Second); s.g.InHand() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					return "still in hand"
+				}
+			}
+			s.s.Close()
+			s.restart()
+			_, again := s.try("k", "x")
+			return first + ", " + again
+		}, "gone, run"},
+		{"a result too large to keep", func(s *server) string {
+			a, _ := s.try("k", "x")
+			a.Report(gate.Succeeded, 1, make([]byte, 5000))
+			s.verdict(a)
+			s.crash()
+			_, again := s.try("k", "x")
+			return again
+		}, "aborted"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := serve(t)
+			defer func() { s.s.Close() }()
+			if got := c.do(s); got != c.want {
+				t.Errorf("%s; want %s; log %q", got, c.want, s.lines)
+			}
+		})
+	}
+}
+
+// Store and gate against a plain model, with crashes between any two steps: nothing runs twice within its window, and
+// who was told ok is told the same for as long.
+func TestGateModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := serve(t)
+		defer func() { s.s.Close() }()
+		type known struct {
+			ran    float64 // when it last began; 0 for never
+			answer string
+			open   *gate.Ticket
+		}
+		model := map[string]*known{}
+		n := 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			key := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key"))
+			k := model[key]
+			if k == nil {
+				k = &known{}
+				model[key] = k
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				if k.open != nil {
+					continue // a repeat would wait for it
+				}
+				ticket, got := s.try(key, "x")
+				within := k.ran > 0 && s.now() < k.ran+8000
+				switch {
+				case got == "run" && within:
+					t.Fatalf("%s ran %g ms after its first run", key, s.now()-k.ran)
+				case got == "run":
+					k.ran, k.answer, k.open = s.now(), "", ticket
+				case within && k.answer != "" && got != k.answer:
+					t.Fatalf("%s: told %q, then %q", key, k.answer, got)
+				}
+			case 2:
+				if k.open == nil {
+					continue
+				}
+				n++
+				how := rapid.SampledFrom([]gate.Outcome{gate.Succeeded, gate.Succeeded, gate.Failed}).Draw(t, "how")
+				k.open.Report(how, 1, []byte(fmt.Sprint(n)))
+				got := s.verdict(k.open)
+				if k.open = nil; got == fmt.Sprint("ok ", n) {
+					k.answer = got
+				} else if got != "aborted" {
+					t.Fatalf("%s ended as %q", key, got)
+				}
+			case 3:
+				s.crash()
+				for _, k := range model {
+					k.open = nil
+				}
+			case 4:
+				s.pass(rapid.Float64Range(0, 6000).Draw(t, "by"))
+			case 5:
+				s.disk.Set(func(d *stand.Disk) { d.FailSyncs = rapid.IntRange(0, 1).Draw(t, "syncs") })
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/index.go
@@ -0,0 +1,81 @@
+package store
+
+// This file owns the index in memory: a table with open addressing that holds a fingerprint and a place, and nothing of
+// what stands there. It must never be trusted alone: the record tells the whole fingerprint.
+
+// slot is one entry: 16 bytes. A place in segment 0 is none.
+type slot struct {
+	print uint64
+	seg   uint32
+	off   uint32
+}
+
+// index is a table of slots; its size is a power of two.
+type index struct {
+	slots []slot
+	used  int    // with those of segments that are gone
+	first uint32 // segments before it are gone
+}
+
+const leastSlots = 1024
+
+func newIndex() *index { return &index{slots: make([]slot, leastSlots), first: 1} }
+
+func (x *index) at(print uint64) int { return int(print >> 20 & uint64(len(x.slots)-1)) }
+
+// put sets the place of a fingerprint, in place of an earlier one.
+func (x *index) put(print uint64, seg, off uint32) {
+	if 4*x.used >= 3*len(x.slots) {
+		x.anew()
+	}
+	for i := x.at(print); ; i = (i + 1) & (len(x.slots) - 1) {
+		s := &x.slots[i]
+		if s.seg == 0 {
+			x.used++
+		} else if s.print != print {
+			continue
+		}
+		*s = slot{print, seg, off}
+		return
+	}
+}
+
+// get is the place of a fingerprint; false if there is none, or its segment is gone.
+func (x *index) get(print uint64) (seg, off uint32, has bool) {
+	for i := x.at(print); ; i = (i + 1) & (len(x.slots) - 1) {
+		s := &x.slots[i]
+		if s.seg == 0 {
+			return 0, 0, false
+		}
+		if s.print == print {
+			return s.seg, s.off, s.seg >= x.first
+		}
+	}
+}
+
+// drop forgets all in segments before first. The slots are freed when the table is made anew.
+func (x *index) drop(first uint32) { x.first = max(x.first, first) }
+
+// anew makes the table anew without what is gone, twice as large if it would still be more than five eighths full.
+func (x *index) anew() {
+	live := 0
+	for i := range x.slots {
+		if x.slots[i].seg >= x.first {
+			live++
+		}
+	}
+	size := len(x.slots)
+	for 8*live >= 5*size {
+		size *= 2
+	}
+	for size > leastSlots && 8*live < size {
+		size /= 2
+	}
+	old := x.slots
+	x.slots, x.used = make([]slot, size), 0
+	for _, s := range old {
+		if s.seg >= x.first {
+			x.put(s.print, s.seg, s.off)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,552 @@
+// Package store keeps what happened to tokened RPCs over restarts: that a run has begun, before it does, and how it
+// ended, with its answer, before the caller hears. It is a log of segments that are dropped whole once all windows in
+// them are over, and an index in memory of places in it. Many records share one write and one sync. Package
+// choose/recovery chooses what entries mean and what may begin; this one only does what that takes. It must never call
+// a record durable that has not been synced, nor trust a file again after a sync of it failed.
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sorrelvalve/choose/recovery"
+)
+
+// Bounds are those of a store. Times are ms.
+type Bounds struct {
+	Bytes     float64 // on disk, over all segments
+	Segment   float64 // bytes after which the next one begins
+	Answer    int     // longest head and result that are kept
+	Window    float64 // the longest of all tokened methods, with their deadlines
+	Tolerance float64 // by which the wall clock may have stepped while the process was down
+}
+
+// Store is one, open.
+type Store struct {
+	fs     FS
+	bounds Bounds
+	owner  uint64
+	now    func() float64 // Unix ms
+	log    func(text string, err error)
+
+	mu       sync.Mutex
+	wake     *sync.Cond
+	index    *index
+	segments map[uint32]*segment
+	number   uint32 // of the one that is written
+	health   recovery.Health
+	used     float64
+	reserve  float64
+	suspect  float64
+	queue    []op
+	closed   bool
+	over     chan struct{}
+	counts   Counts
+}
+
+// Counts are what a store has done.
+type Counts struct {
+	Records, Syncs, Dropped, Failures uint64
+	Bytes                             uint64
+	Recovered                         int
+	Took                              time.Duration // of recovery
+}
+
+type segment struct {
+	recovery.Segment
+	file File
+	name string
+	open map[Print]struct{} // tokens begun in it without an end, from this process
+}
+
+// op is one record on its way to the disk.
+type op struct {
+	r    record
+	done func(error)
+	need float64
+}
+
+var (
+	// ErrNotKept is that a record could not be made durable.
+	ErrNotKept = errors.New("store: not kept")
+	// ErrVersion is that a store was written by another version.
+	ErrVersion = errors.New("store: written by another version of the format")
+	// ErrOwner is that it is another server's.
+	ErrOwner = errors.New("store: it is that of another server")
+	errOver  = errors.New("store: closed")
+)
+
+// Open reads what stands in a folder and begins a new segment. owner names the server: a store copied from another one
+// is an error, as is one of another version; neither is changed. log hears of what was damaged or failed.
+func Open(fs FS, b Bounds, owner string, now func() float64, log func(string, error)) (*Store, error) {
+	s := &Store{
+		fs: fs, bounds: b, owner: xxhash.Sum64String(owner), now: now, log: log, index: newIndex(), segments: map[uint32]*segment{},
+		over: make(chan struct{}),
+	}
+	s.wake = sync.NewCond(&s.mu)
+	began := time.Now()
+	if err := s.recover(); err != nil {
+		return nil, err
+	}
+	s.counts.Took = time.Since(began)
+	if err := s.next(); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	go s.write()
+	return s, nil
+}
+
+func segName(n uint32) string { return fmt.Sprintf("%08x.seg", n) }
+
+// recover reads all segments, the oldest first.
+func (s *Store) recover() error {
+	names, err := s.fs.List()
+	if err != nil {
+		return err
+	}
+	slices.Sort(names)
+	var last string
+	for _, name := range names {
+		if strings.HasSuffix(name, ".seg") {
+			last = name
+		}
+	}
+	for _, name := range names {
+		var n uint32
+		if _, err := fmt.Sscanf(name, "%08x.seg", &n); err != nil || name != segName(n) || n == 0 {
+			continue
+		}
+		f, err := s.fs.Open(name)
+		if err != nil {
+			return err
+		}
+		if err := s.read(n, name, f, name == last); err != nil {
+			f.Close()
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		s.number = max(s.number, n)
+	}
+	return nil
+}
+
+// chunk is what is read of a segment at once during recovery.
+const chunk = 1 << 20
+
+// read takes in one segment.
+func (s *Store) read(n uint32, name string, f File, last bool) error {
+	length, err := f.Size()
+	if err != nil {
+		return err
+	}
+	seg := &segment{file: f, name: name, open: map[Print]struct{}{}}
+	seg.Bytes = float64(length)
+	head := make([]byte, segHead)
+	got, err := f.ReadAt(head, 0)
+	if err != nil && err != io.EOF {
+		return err
+	}
+	if got < segHead { // it was begun, and nothing in it was answered for
+		s.segments[n] = seg
+		s.used += seg.Bytes
+		return nil
+	}
+	if string(head[:7]) != segMagic {
+		return errors.New("no segment of a store")
+	}
+	if head[7] != Version {
+		return fmt.Errorf("%w: %d, this build reads %d", ErrVersion, head[7], Version)
+	}
+	if want := appendSegHead(nil, s.owner, uint64(n)); string(head[8:16]) != string(want[8:16]) {
+		return ErrOwner
+	}
+	s.segments[n] = seg
+	s.used += seg.Bytes
+	buf, at := make([]byte, 0, chunk), int64(segHead) // buf holds the bytes from at on
+	written := 0.0
+	for {
+		r, size, err := parse(buf, false)
+		if err == errShort && at+int64(len(buf)) < length {
+			old := len(buf)
+			buf = append(buf, make([]byte, min(chunk, length-at-int64(len(buf))))...)
+			k, err := f.ReadAt(buf[old:], at+int64(old))
+			buf = buf[:old+k]
+			if err != nil && err != io.EOF || k == 0 {
+				s.damaged(name, written, fmt.Errorf("read: %w", err))
+				return nil
+			}
+			continue
+		}
+		if err != nil {
+			if len(buf) == 0 && at == length {
+				return nil
+			}
+			if recovery.Trust(!last || soundBehind(f, at+1, length)) {
+				s.damaged(name, written, err)
+			}
+			return nil
+		}
+		written = max(written, r.written)
+		s.counts.Recovered++
+		seg.Last = max(seg.Last, r.until)
+		s.index.put(r.print[0], n, uint32(at))
+		at += int64(size)
+		buf = buf[size:]
+		if cap(buf) < chunk/2 { // the backing array is nearly used up
+			buf = append(make([]byte, 0, chunk), buf...)
+		}
+	}
+}
+
+// soundBehind tells whether a sound record follows somewhere behind a bad one.
+func soundBehind(f File, from, length int64) bool {
+	b := make([]byte, length-from)
+	k, _ := f.ReadAt(b, from)
+	b = b[:k]
+	for i := 0; i+recHead+recFixed <= len(b); i++ {
+		if b[i] == recMagic&0xff {
+			if _, _, err := parse(b[i:], false); err == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// damaged books that entries may be missing. What was written of them ended at the latest when the next segment was
+// begun; the clock of this moment bounds that.
+func (s *Store) damaged(name string, written float64, err error) {
+	s.log("store: a segment is damaged", fmt.Errorf("%s: %w", name, err))
+	s.counts.Failures++
+	s.suspect = max(s.suspect, recovery.Suspect(s.now(), s.bounds.Window, s.bounds.Tolerance))
+}
+
+// next begins a segment. It is called with no write in hand.
+func (s *Store) next() error {
+	n := s.number + 1
+	f, err := s.fs.Create(segName(n))
+	if err != nil {
+		return err
+	}
+	head := appendSegHead(nil, s.owner, uint64(n))
+	if _, err = f.Write(head); err == nil {
+		if err = f.Sync(); err == nil {
+			err = s.fs.Sync()
+		}
+	}
+	if err != nil {
+		f.Close()
+		s.fs.Remove(segName(n))
+		s.number = n // the name is not used again
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number = n
+	seg := &segment{file: f, name: segName(n), open: map[Print]struct{}{}}
+	seg.Bytes = float64(len(head))
+	s.segments[n] = seg
+	s.used += seg.Bytes
+	s.drop()
+	return nil
+}
+
+// drop removes the segments that are over. It is called with the lock held.
+func (s *Store) drop() {
+	for n := s.first(); n < s.number; n = s.first() {
+		seg := s.segments[n]
+		if !seg.Droppable(s.now(), s.bounds.Tolerance) {
+			return
+		}
+		if err := s.fs.Remove(seg.name); err != nil {
+			s.log("store: a segment can't be removed", err)
+			return
+		}
+		seg.file.Close()
+		delete(s.segments, n)
+		s.index.drop(n + 1)
+		s.used -= seg.Bytes
+		s.counts.Dropped++
+	}
+}
+
+// first is the oldest segment's number.
+func (s *Store) first() uint32 {
+	least := s.number
+	for n := range s.segments {
+		least = min(least, n)
+	}
+	return least
+}
+
+// frees is when the oldest segment is over.
+func (s *Store) frees() float64 {
+	if seg := s.segments[s.first()]; seg != nil && seg.Open == 0 {
+		return seg.Last + s.bounds.Tolerance
+	}
+	return 0
+}
+
+// Found is what a store knows of a token.
+type Found struct {
+	recovery.Entry
+	Head, Result []byte
+}
+
+// Find reads what is known of a token. It may read the disk. An error tells that something is known and can't be read:
+// the token must not run.
+func (s *Store) Find(p Print) (Found, bool, error) {
+	s.mu.Lock()
+	n, off, has := s.index.get(p[0])
+	seg := s.segments[n]
+	s.mu.Unlock()
+	if !has || seg == nil {
+		return Found{}, false, nil
+	}
+	r, err := readAt(seg.file, int64(off))
+	switch {
+	case err != nil:
+		s.mu.Lock()
+		gone := s.segments[n] == nil // dropped meanwhile, as its windows are over
+		s.mu.Unlock()
+		if gone {
+			return Found{}, false, nil
+		}
+		s.log("store: an entry can't be read", err)
+		return Found{}, true, err
+	case r.print != p: // another token with the same first half: one in 2^64 for each pair
+		return Found{}, false, nil
+	}
+	return Found{recovery.Entry{State: r.state, Body: r.body, Until: r.until}, r.head, r.result}, true, nil
+}
+
+// firstRead holds most records whole.
+const firstRead = 4 << 10
+
+func readAt(f File, off int64) (record, error) {
+	b := make([]byte, firstRead)
+	for {
+		k, err := f.ReadAt(b, off)
+		if err != nil && err != io.EOF {
+			return record{}, err
+		}
+		r, _, bad := parse(b[:k], true)
+		if bad == errShort && k == len(b) && len(b) < 2*maxRecord {
+			b = make([]byte, 4*len(b))
+			continue
+		}
+		return r, bad
+	}
+}
+
+// May tells whether a token may begin now, and reserves room for its end if so.
+func (s *Store) May() *recovery.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop()
+	d := recovery.Disk{Health: s.health, Used: s.used, Most: s.bounds.Bytes, Reserve: s.reserve, Frees: s.frees(), Suspect: s.suspect}
+	need := float64(size(0) + size(s.bounds.Answer))
+	if r := d.May(s.now(), need); r != nil {
+		return r
+	}
+	s.reserve += need
+	return nil
+}
+
+// Begin makes durable that a token's run is about to be asked for, and calls done from another goroutine. May must have
+// allowed it. On an error nothing may run.
+func (s *Store) Begin(p Print, body uint64, until float64, done func(error)) {
+	need := float64(size(0))
+	s.put(op{record{print: p, state: recovery.Begun, body: body, until: until}, func(err error) {
+		if err != nil {
+			s.release(float64(size(s.bounds.Answer)))
+		}
+		done(err)
+	}, need})
+}
+
+// End makes durable how a run ended and calls done. An answer that is too long is not kept. Each Begin that succeeded
+// must have one End.
+func (s *Store) End(p Print, state recovery.State, body uint64, until float64, head, result []byte, done func(error)) {
+	r := record{print: p, state: state, body: body, until: until}
+	if state == recovery.Done {
+		if len(head)+len(result) > s.bounds.Answer {
+			r.state = recovery.Unkept
+		} else {
+			r.head, r.result = head, result
+		}
+	}
+	s.put(op{r, done, float64(size(s.bounds.Answer))})
+}
+
+func (s *Store) release(bytes float64) {
+	s.mu.Lock()
+	s.reserve = max(0, s.reserve-bytes)
+	s.mu.Unlock()
+}
+
+func (s *Store) put(o op) {
+	s.mu.Lock()
+	closed := s.closed
+	if !closed {
+		s.queue = append(s.queue, o)
+		s.wake.Signal()
+	}
+	s.mu.Unlock()
+	if closed {
+		go o.done(errOver)
+	}
+}
+
+// retryBroken is the ms between two attempts at a new segment after a failure.
+const retryBroken = 200.0
+
+// write is the one goroutine that writes: what has gathered goes in one write and one sync.
+func (s *Store) write() {
+	defer close(s.over)
+	var buf []byte
+	var offs []uint32
+	for {
+		s.mu.Lock()
+		for len(s.queue) == 0 && !s.closed {
+			s.wake.Wait()
+		}
+		batch := s.queue
+		s.queue = nil
+		broken, closed := s.health == recovery.Broken, s.closed
+		seg := s.segments[s.number]
+		s.mu.Unlock()
+		if len(batch) == 0 && closed {
+			return
+		}
+		if broken { // nothing is written before a new segment has been begun and synced
+			if err := s.next(); err != nil {
+				s.fail(batch, err)
+				time.Sleep(time.Duration(retryBroken) * time.Millisecond)
+				continue
+			}
+			s.mu.Lock()
+			s.health = recovery.Sound
+			seg = s.segments[s.number]
+			s.mu.Unlock()
+			s.log("store: written again", nil)
+		}
+		buf, offs = buf[:0], offs[:0]
+		at := uint32(seg.Bytes)
+		for i := range batch {
+			batch[i].r.written = s.now()
+			offs = append(offs, at+uint32(len(buf)))
+			buf = batch[i].r.append(buf)
+		}
+		_, err := seg.file.Write(buf)
+		if err == nil {
+			err = seg.file.Sync()
+		}
+		if err != nil {
+			s.log("store: can't be written", err)
+			s.mu.Lock()
+			s.health = recovery.Broken
+			s.used += float64(len(buf)) // some of it may stand there
+			seg.Bytes += float64(len(buf))
+			// What was not proven may be there all the same: the segment stays as long as it would with it.
+			for i := range batch {
+				seg.Last = max(seg.Last, batch[i].r.until)
+			}
+			s.mu.Unlock()
+			s.fail(batch, err)
+			continue
+		}
+		s.mu.Lock()
+		s.counts.Syncs++
+		s.counts.Bytes += uint64(len(buf))
+		seg.Bytes += float64(len(buf))
+		s.used += float64(len(buf))
+		for i := range batch {
+			r := &batch[i].r
+			s.counts.Records++
+			s.index.put(r.print[0], s.number, offs[i])
+			seg.Last = max(seg.Last, r.until)
+			s.reserve = max(0, s.reserve-batch[i].need)
+			if r.state == recovery.Begun {
+				seg.Open++
+				seg.open[r.print] = struct{}{}
+			} else {
+				for _, o := range s.segments {
+					if _, is := o.open[r.print]; is {
+						delete(o.open, r.print)
+						o.Open--
+					}
+				}
+			}
+		}
+		full := seg.Bytes >= s.bounds.Segment
+		s.mu.Unlock()
+		for i := range batch {
+			batch[i].done(nil)
+		}
+		if full {
+			if err := s.next(); err != nil {
+				s.log("store: no further segment", err)
+				s.mu.Lock()
+				s.health = recovery.Broken
+				s.mu.Unlock()
+			}
+		}
+	}
+}
+
+func (s *Store) fail(batch []op, err error) {
+	s.mu.Lock()
+	s.counts.Failures++
+	for i := range batch {
+		s.reserve = max(0, s.reserve-batch[i].need)
+	}
+	s.mu.Unlock()
+	for i := range batch {
+		batch[i].done(fmt.Errorf("%w: %w", ErrNotKept, err))
+	}
+}
+
+// State is how a store stands.
+type State struct {
+	Counts
+	Health   recovery.Health
+	Used     float64
+	Reserve  float64
+	Segments int
+	Entries  int // of the index, with those that are over
+	IndexKB  float64
+	Suspect  float64
+}
+
+// State returns how it stands.
+func (s *Store) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return State{s.counts, s.health, s.used, s.reserve, len(s.segments), s.index.used, float64(16*len(s.index.slots)) / 1024, s.suspect}
+}
+
+// Close writes what is on its way and ends.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	was := s.closed
+	s.closed = true
+	s.wake.Signal()
+	s.mu.Unlock()
+	if was {
+		return nil
+	}
+	<-s.over
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, seg := range s.segments {
+		seg.file.Close()
+	}
+	return s.fs.Close()
+}
