The store in daemon and library, its commands, pages and two experiments

The operator's file names a folder (store), valve.Options another; the server listens and pushes back until it has been read. sorrelvalve store inspect, verify and compact look at it. durable-kill starts and kills a real process at random under purchases repeated over both protocols; durable-cost measures it beside a server without one.

--- a/cmd/sorrelvalve/main.go
+++ b/cmd/sorrelvalve/main.go
@@ -21,6 +21,7 @@
 	Serve   serveCmd   `cmd:"" help:"Serve RPCs until SIGTERM or SIGINT, then drain and exit."`
 	Check   checkCmd   `cmd:"" help:"Read the configuration, tell what is wrong with it, and start nothing."`
 	Trace   traceCmd   `cmd:"" help:"Record what the decisions are told and say; show, replay and compare it."`
+	Store   storeCmd   `cmd:"" help:"Look at the folder of a durable store."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -28,6 +28,7 @@
 	"sorrelvalve/internal/members"
 	"sorrelvalve/internal/opening"
 	"sorrelvalve/internal/operator"
+	"sorrelvalve/internal/store"
 	"sorrelvalve/internal/trace"
 )
 
@@ -132,7 +133,22 @@
 		defer rec.Close()
 		g.Trace(rec)
 	}
-	link := engine.New(p.Engine, log, g.Start)
+	begun := g.Start
+	var kept *opened
+	if t.op != nil && t.op.File.Store != nil { // until it has been read, the server listens and pushes back
+		kept = openStore(t.op.File.Store, &settings, p.Name, log)
+		defer kept.close()
+		begun = func(cold bool, ago time.Duration) {
+			since := time.Now()
+			if <-kept.ready; kept.err == nil {
+				if !g.Started() {
+					g.Keep(store.Keeper{Store: kept.s})
+				}
+				g.Start(cold, ago+time.Since(since))
+			}
+		}
+	}
+	link := engine.New(p.Engine, log, begun)
 	table := front.NewTable(sockets, g.Idle, log)
 	run := engineRunner(link)
 	var more *extras
@@ -188,7 +204,19 @@
 		begins = begins.WithFields(logrus.Fields{"version": t.op.File.Version, "hash": t.op.Hash[:12]})
 	}
 	begins.Info("serve: begins")
-	<-stop
+	if kept != nil {
+		select {
+		case <-stop:
+		case <-kept.ready:
+			if kept.err != nil {
+				table.Finish(ctx)
+				return fmt.Errorf("store: %w", kept.err)
+			}
+			<-stop
+		}
+	} else {
+		<-stop
+	}
 	drain(latest.Load().Process, g, table, log)
 	return nil
 }
--- /dev/null
+++ b/cmd/sorrelvalve/store.go
@@ -0,0 +1,156 @@
+package main
+
+// This file owns the durable store of the daemon: opening it beside the start, and the commands over its folder. It must
+// never let an RPC in before recovery is over.
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/choose/recovery"
+	"sorrelvalve/control"
+	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/operator"
+	"sorrelvalve/internal/store"
+)
+
+// opened is a store that is being opened.
+type opened struct {
+	ready chan struct{}
+	s     *store.Store
+	err   error
+}
+
+// openStore reads what stands in the folder, beside the start of the rest.
+func openStore(o *operator.Store, told *opening.Opening, name string, log *logrus.Entry) *opened {
+	x := &opened{ready: make(chan struct{})}
+	go func() {
+		defer close(x.ready)
+		fs, err := store.OpenDir(o.Dir)
+		if err != nil {
+			x.err = err
+			return
+		}
+		x.s, x.err = store.Open(fs, storeBounds(o, told.Methods), name, func() float64 { return float64(time.Now().UnixNano()) / 1e6 },
+			func(text string, err error) { log.WithError(err).Error(text) })
+		if x.err != nil {
+			fs.Close()
+			return
+		}
+		st := x.s.State()
+		log.WithFields(logrus.Fields{"entries": st.Recovered, "ms": st.Took.Milliseconds(), "segments": st.Segments}).Info("store: recovered")
+	}()
+	return x
+}
+
+func storeBounds(o *operator.Store, methods []control.Method) store.Bounds {
+	b := store.Bounds{Bytes: o.MB * (1 << 20), Segment: o.SegmentMB * (1 << 20), Answer: o.AnswerBytes, Tolerance: o.ToleranceMs}
+	for _, m := range methods {
+		if m.Repeat == control.Tokened {
+			b.Window = max(b.Window, m.Window+m.Deadline)
+		}
+	}
+	return b
+}
+
+// close ends the store once nothing more can ask for it.
+func (x *opened) close() {
+	<-x.ready
+	if x.s != nil {
+		x.s.Close()
+	}
+}
+
+type storeCmd struct {
+	Inspect inspectCmd `cmd:"" help:"Tell what stands in a store's folder."`
+	Verify  verifyCmd  `cmd:"" help:"Read every record of it; the exit code tells whether all is sound."`
+	Compact compactCmd `cmd:"" help:"Remove segments of which all windows are over, while no server uses the folder."`
+}
+
+type inspectCmd struct {
+	Dir string `arg:"" type:"existingdir"`
+}
+
+func (c inspectCmd) Run() error { _, err := look(c.Dir, true); return err }
+
+type verifyCmd struct {
+	Dir string `arg:"" type:"existingdir"`
+}
+
+func (c verifyCmd) Run() error {
+	bad, err := look(c.Dir, false)
+	if err == nil && bad > 0 {
+		err = fmt.Errorf("%d segments are not sound to their end; a torn tail of the last one is what a crash leaves", bad)
+	}
+	return err
+}
+
+func look(dir string, list bool) (bad int, err error) {
+	fs, err := store.OpenDir(dir)
+	if err != nil {
+		return 0, err
+	}
+	defer fs.Close()
+	all, err := store.Look(fs)
+	if err != nil {
+		return 0, err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 2, 0, 2, ' ', 0)
+	if list {
+		fmt.Fprintln(w, "segment\tbytes\trecords\tbegun\tdone\tfailed\tnot kept\tnever ran\tlast window over\t")
+	}
+	for _, s := range all {
+		why := ""
+		if s.Err != nil {
+			bad++
+			why = "ends early: " + s.Err.Error()
+		}
+		if list || s.Err != nil {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", s.Name, s.Bytes, s.Records, s.States[recovery.Begun], s.States[recovery.Done],
+				s.States[recovery.Failed], s.States[recovery.Unkept], s.States[recovery.Forgotten], time.UnixMilli(int64(s.Last)).UTC().Format(time.RFC3339), why)
+		}
+	}
+	w.Flush()
+	fmt.Printf("%d segments, %d not sound to their end\n", len(all), bad)
+	return bad, nil
+}
+
+type compactCmd struct {
+	Dir       string        `arg:"" type:"existingdir"`
+	Tolerance time.Duration `default:"2s" help:"By which the clock may have stepped."`
+}
+
+func (c compactCmd) Run() error {
+	fs, err := store.OpenDir(c.Dir)
+	if err != nil {
+		return err
+	}
+	defer fs.Close()
+	all, err := store.Look(fs)
+	if err != nil {
+		return err
+	}
+	now := float64(time.Now().UnixMilli())
+	removed, kept := 0, 0
+	for _, s := range all { // the oldest first, and none behind one that stays: later records go before earlier ones
+		seg := recovery.Segment{Last: s.Last}
+		if s.Err != nil || !seg.Droppable(now, float64(c.Tolerance.Milliseconds())) {
+			kept = len(all) - removed
+			break
+		}
+		if err := fs.Remove(s.Name); err != nil {
+			return err
+		}
+		removed++
+	}
+	fmt.Printf("%d segments removed, %d stay\n", removed, kept)
+	if kept > 0 && all[removed].Err != nil {
+		return errors.New(all[removed].Name + ": " + all[removed].Err.Error())
+	}
+	return nil
+}
--- a/cmd/valvelab/main.go
+++ b/cmd/valvelab/main.go
@@ -20,6 +20,8 @@
 var experiments = []experiment{
 	{"uwsgi-mixed", "both protocols at 120% of one machine: past the valve, a plain queue, the valve", lab.Mixed},
 	{"parity", "one sequence of arrivals through the daemon and through gin, on a virtual clock and in real time", lab.Parity},
+	{"durable-kill", "a process with a durable store, killed at random under repeated purchases by both fronts", lab.DurableKill},
+	{"durable-cost", "what the durable store costs: off, on, on a slow disk", lab.DurableCost},
 	{"embedded", "a gin program at 150% of its cores: bare, behind a semaphore, behind the valve", lab.Embedded},
 	{"pools", "five uwsgi members of which one turns bad and recovers, beside round robin without ejection", lab.Pools},
 }
@@ -28,6 +30,7 @@
 	List listCmd `cmd:"" help:"List the experiments."`
 	Run  runCmd  `cmd:"" help:"Run one."`
 
+	Node    nodeCmd    `cmd:"" hidden:"" help:"The process of the experiment durable-kill."`
 	Program programCmd `cmd:"" hidden:"" help:"The program of the experiment embedded."`
 }
 
@@ -46,6 +49,15 @@
 
 func (c programCmd) Run() error { return lab.Program(c.Way) }
 
+type nodeCmd struct {
+	Dir    string `arg:""`
+	Engine string `arg:""`
+	RPC    string `arg:""`
+	Web    string `arg:""`
+}
+
+func (c nodeCmd) Run() error { return lab.Node(c.Dir, c.Engine, c.RPC, c.Web) }
+
 type runCmd struct {
 	Name  string `arg:"" help:"Its name, as list tells it."`
 	Quick bool   `help:"In a short form, within 45 s."`
--- a/internal/cuefile/schema.cue
+++ b/internal/cuefile/schema.cue
@@ -26,6 +26,18 @@
 	files:   *4 | int & >=1 & <=1000
 }
 
+// What keeps tokens and their answers over restarts, on a disk that lasts; without it they are kept in memory.
+store?: {
+	dir: string & !=""
+	// On disk in all, and in each segment, which is freed as a whole once all windows in it are over.
+	mb:         *256 | number & >=1 & <=1048576
+	segment_mb: *8 | number & >=0.1 & <=4096
+	// The longest answer that is kept, its head included.
+	answer_bytes: *16384 | int & >=0 & <=16777216
+	// By how much the wall clock may step while the server is down.
+	tolerance_ms: *2000 | number & >=0 & <=3600000
+}
+
 // The front that accepts uwsgi; without it there is none.
 uwsgi?: #UWSGI
 
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -65,11 +65,19 @@
 
 // NewServer puts a server together before an engine, with what an operator's file sets; its listen address is ignored.
 func NewServer(o *opening.Opening, engineAddr string, f *operator.File) (*Server, error) {
+	return NewKeptServer(o, engineAddr, f, nil, "127.0.0.1:0", "127.0.0.1:0")
+}
+
+// NewKeptServer is NewServer at given addresses, with tokens kept by k if that is not nil.
+func NewKeptServer(o *opening.Opening, engineAddr string, f *operator.File, k gate.Keeper, rpc, web string) (*Server, error) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	log := logger.WithField("node", "lab")
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{Gate: gate.New(o, 256, func(string, string) {}), Pools: pools.New(1, log)}
+	if k != nil {
+		s.Gate.Keep(k)
+	}
 	link := engine.New(engineAddr, log, s.Gate.Start)
 	table := front.NewTable(4096, s.Gate.Idle, log)
 	s.Pools.Set(f)
@@ -89,8 +97,8 @@
 		i := slices.IndexFunc(o.Methods, func(m control.Method) bool { return m.Name == name })
 		return i >= 0 && o.Methods[i].Repeat == control.Idempotent
 	})
-	listen := func(open func(net.Conn) front.Conn) (string, error) {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	listen := func(addr string, open func(net.Conn) front.Conn) (string, error) {
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			return "", err
 		}
@@ -98,8 +106,8 @@
 		return ln.Addr().String(), nil
 	}
 	var err error
-	if s.RPC, err = listen(mprpc.New(table, s.Gate, run, log).Open); err == nil {
-		s.Web, err = listen(uwsgi.New(table, s.Gate, run, f, 1, log).Open)
+	if s.RPC, err = listen(rpc, mprpc.New(table, s.Gate, run, log).Open); err == nil {
+		s.Web, err = listen(web, uwsgi.New(table, s.Gate, run, f, 1, log).Open)
 	}
 	go link.Serve(ctx)
 	go s.Pools.Serve(ctx)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -38,6 +38,7 @@
 	Hold    Hold              `json:"hold"`
 	Limits  Limits            `json:"limits"`
 	Trace   *Trace            `json:"trace,omitempty"`
+	Store   *Store            `json:"store,omitempty"`
 	UWSGI   *UWSGI            `json:"uwsgi,omitempty"`
 	Routes  map[string]Route  `json:"routes,omitempty"`
 	Pools   map[string]Pool   `json:"pools,omitempty"`
@@ -80,6 +81,15 @@
 	Files  int     `json:"files"`
 }
 
+// Store keeps tokens over restarts, on a lasting disk.
+type Store struct {
+	Dir         string  `json:"dir"`
+	MB          float64 `json:"mb"`
+	SegmentMB   float64 `json:"segment_mb"`
+	AnswerBytes int     `json:"answer_bytes"`
+	ToleranceMs float64 `json:"tolerance_ms"`
+}
+
 // UWSGI is the front that accepts uwsgi.
 type UWSGI struct {
 	Listen     string  `json:"listen"`
@@ -292,6 +302,18 @@
 			bad(at("limits.quotas", name), "no customer of the settings")
 		}
 	}
+	if t := f.Store; t != nil {
+		if t.Dir == "" {
+			bad("store.dir", "a path expected")
+		}
+		within("store.mb", t.MB, 1, 1<<20)
+		within("store.segment_mb", t.SegmentMB, 0.1, 4096)
+		within("store.answer_bytes", float64(t.AnswerBytes), 0, 16<<20)
+		within("store.tolerance_ms", t.ToleranceMs, 0, 3.6e6)
+		if t.SegmentMB > t.MB/2 {
+			bad("store.segment_mb", "at most half of store.mb: a segment is freed as a whole")
+		}
+	}
 	if t := f.Trace; t != nil {
 		if t.Path == "" {
 			bad("trace.path", "a path expected")
@@ -454,6 +476,9 @@
 	if !reflect.DeepEqual(f.Limits, next.Limits) {
 		all = append(all, "limits")
 	}
+	if !reflect.DeepEqual(f.Store, next.Store) {
+		all = append(all, "store")
+	}
 	if !reflect.DeepEqual(f.Trace, next.Trace) {
 		all = append(all, "trace")
 	}
--- a/valve/valve.go
+++ b/valve/valve.go
@@ -20,6 +20,7 @@
 	"sorrelvalve/control"
 	"sorrelvalve/internal/gate"
 	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/store"
 	"sorrelvalve/internal/trace"
 )
 
@@ -80,6 +81,41 @@
 
 	Observe func(Observed) // hears of each event, under a lock: it must not block, nor call the Valve; may be nil
 	Trace   *Trace         // nil: nothing is recorded
+	Store   *Store         // nil: tokens are kept in memory only
+}
+
+// Store keeps tokens and their answers over restarts, in a folder on a disk that lasts and that no other process uses.
+type Store struct {
+	Dir       string
+	Server    string                       // the name of this server; one that was copied from another is an error
+	Bytes     int64                        // on disk; 256 MiB if 0
+	Answer    int                          // longest answer that is kept; 16 KiB if 0
+	Tolerance time.Duration                // by which the clock may step while the program is down; 2 s if 0
+	Log       func(text string, err error) // nil: nothing is said
+}
+
+// open reads what stands there.
+func (t *Store) open(methods []control.Method) (*store.Store, error) {
+	b := store.Bounds{Bytes: float64(positive(t.Bytes, 256<<20)), Answer: positive(t.Answer, 16<<10), Tolerance: millis(positive(t.Tolerance, 2*time.Second))}
+	b.Segment = b.Bytes / 32
+	for _, m := range methods {
+		if m.Repeat == control.Tokened {
+			b.Window = max(b.Window, m.Window+m.Deadline)
+		}
+	}
+	log := t.Log
+	if log == nil {
+		log = func(string, error) {}
+	}
+	fs, err := store.OpenDir(t.Dir)
+	if err != nil {
+		return nil, err
+	}
+	s, err := store.Open(fs, b, t.Server, func() float64 { return float64(time.Now().UnixNano()) / 1e6 }, log)
+	if err != nil {
+		fs.Close()
+	}
+	return s, err
 }
 
 // Valve is one instance.
@@ -89,6 +125,7 @@
 	clock   func() time.Time
 	gauges  func() (Gauges, bool)
 	rec     *trace.Recorder
+	kept    *store.Store
 	stop    chan struct{}
 	ended   sync.WaitGroup
 	closing sync.Once
@@ -182,6 +219,12 @@
 	if v.gauges == nil {
 		v.gauges = newOwnGauges(told.Node.Cores).read
 	}
+	if o.Store != nil {
+		if v.kept, err = o.Store.open(told.Methods); err != nil {
+			return nil, fmt.Errorf("valve: Store: %w", err)
+		}
+		v.g.Keep(store.Keeper{Store: v.kept})
+	}
 	if t := o.Trace; t != nil {
 		failed := t.Failed
 		if failed == nil {
@@ -438,5 +481,8 @@
 		if v.rec != nil {
 			v.rec.Close()
 		}
+		if v.kept != nil {
+			v.kept.Close()
+		}
 	})
 }
