Tokens kept from before a restart go by the longer of their window and today's

A server started with a longer window than before told a repeat by the old one, past which it could run a second time. Entries now say when they were written, and recovery keeps their segments for the longest window of today. Two more faults are in the table of tests: new windows, and power that goes again and again while the store is read.

--- a/choose/recovery/recovery.go
+++ b/choose/recovery/recovery.go
@@ -35,13 +35,15 @@
 	State State
 	Body  uint64  // hash
 	Until float64 // no try that came to the machine before may run
+	At    float64 // when it was written
 }
 
-// Tell is what a try with a door and a body is told by an entry. The tolerance is how far the wall clock may have
-// stepped while the process was down: an entry counts that much longer.
-func Tell(e Entry, door float64, body uint64, tolerance float64) Says {
+// Tell is what a try with a door and a body is told by an entry, where windows are as long as now. They may have been
+// shorter when it was written: the longer one counts. The tolerance is how far the wall clock may have stepped while
+// the process was down: an entry counts that much longer.
+func Tell(e Entry, door float64, body uint64, window, tolerance float64) Says {
 	switch {
-	case e.State == Forgotten, door >= e.Until+tolerance:
+	case e.State == Forgotten, door >= math.Max(e.Until, e.At+window)+tolerance:
 		return Unknown
 	case e.Body != body:
 		return OtherBody
--- a/choose/recovery/recovery_test.go
+++ b/choose/recovery/recovery_test.go
@@ -10,18 +10,20 @@
 		body uint64
 		want Says
 	}{
-		{"begun without an end", Entry{Begun, 7, 1000}, 500, 7, MayRun},
-		{"done", Entry{Done, 7, 1000}, 500, 7, Answer},
-		{"failed", Entry{Failed, 7, 1000}, 500, 7, MayRun},
-		{"not kept", Entry{Unkept, 7, 1000}, 500, 7, HasRun},
-		{"never ran", Entry{Forgotten, 7, 1000}, 500, 7, Unknown},
-		{"another body", Entry{Done, 7, 1000}, 500, 8, OtherBody},
-		{"another body of what may have run", Entry{Begun, 7, 1000}, 500, 8, OtherBody},
-		{"past the window, within the tolerance", Entry{Done, 7, 1000}, 1040, 7, Answer},
-		{"past both", Entry{Done, 7, 1000}, 1050, 7, Unknown},
-		{"a state of a later build", Entry{99, 7, 1000}, 500, 7, MayRun},
+		{"past its window, within that of today", Entry{Done, 7, 1000, 900}, 1090, 7, Answer},
+		{"past both windows", Entry{Done, 7, 1000, 900}, 1150, 7, Unknown},
+		{"begun without an end", Entry{Begun, 7, 1000, 0}, 500, 7, MayRun},
+		{"done", Entry{Done, 7, 1000, 0}, 500, 7, Answer},
+		{"failed", Entry{Failed, 7, 1000, 0}, 500, 7, MayRun},
+		{"not kept", Entry{Unkept, 7, 1000, 0}, 500, 7, HasRun},
+		{"never ran", Entry{Forgotten, 7, 1000, 0}, 500, 7, Unknown},
+		{"another body", Entry{Done, 7, 1000, 0}, 500, 8, OtherBody},
+		{"another body of what may have run", Entry{Begun, 7, 1000, 0}, 500, 8, OtherBody},
+		{"past the window, within the tolerance", Entry{Done, 7, 1000, 0}, 1040, 7, Answer},
+		{"past both", Entry{Done, 7, 1000, 0}, 1050, 7, Unknown},
+		{"a state of a later build", Entry{99, 7, 1000, 0}, 500, 7, MayRun},
 	} {
-		if got := Tell(c.e, c.door, c.body, 50); got != c.want {
+		if got := Tell(c.e, c.door, c.body, 200, 50); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -93,7 +93,7 @@
 // others are called under it and must not block. done is called later, from another goroutine.
 type Keeper interface {
 	Hash(body []byte) uint64
-	Find(key string, body uint64, door float64) (says recovery.Says, head, result []byte)
+	Find(key string, body uint64, door, window float64) (says recovery.Says, head, result []byte)
 	May() *recovery.Refusal // reserves room for one run; each is to be used by one Begin
 	Begin(key string, body uint64, until float64, done func(error))
 	End(key string, state recovery.State, body uint64, until float64, head, result []byte, done func(error))
@@ -359,7 +359,7 @@
 	known := k != nil && r.Door < k.until
 	g.mu.Unlock()
 	if !known {
-		s.says, s.head, s.result = g.store.Find(key, s.body, math.Min(r.Door, now))
+		s.says, s.head, s.result = g.store.Find(key, s.body, math.Min(r.Door, now), g.told.Methods[g.methods[r.Method]].Window)
 	}
 	return s
 }
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -20,7 +20,7 @@
 func (k Keeper) Hash(body []byte) uint64 { return xxhash.Sum64(body) }
 
 // Find tells what a try is told. What is known and can't be read may have run.
-func (k Keeper) Find(key string, body uint64, door float64) (recovery.Says, []byte, []byte) {
+func (k Keeper) Find(key string, body uint64, door, window float64) (recovery.Says, []byte, []byte) {
 	f, has, err := k.Store.Find(PrintOf(key))
 	switch {
 	case err != nil:
@@ -28,7 +28,7 @@
 	case !has:
 		return recovery.Unknown, nil, nil
 	}
-	return recovery.Tell(f.Entry, door, body, k.bounds.Tolerance), f.Head, f.Result
+	return recovery.Tell(f.Entry, door, body, window, k.bounds.Tolerance), f.Head, f.Result
 }
 
 // Begin and End are those of the store, by key.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -194,7 +194,7 @@
 		}
 		written = max(written, r.written)
 		s.counts.Recovered++
-		seg.Last = max(seg.Last, r.until)
+		seg.Last = max(seg.Last, r.until, r.written+s.bounds.Window) // the windows of today may be longer
 		s.index.put(r.print[0], n, uint32(at))
 		at += int64(size)
 		buf = buf[size:]
@@ -323,7 +323,7 @@
 	case r.print != p: // another token with the same first half: one in 2^64 for each pair
 		return Found{}, false, nil
 	}
-	return Found{recovery.Entry{State: r.state, Body: r.body, Until: r.until}, r.head, r.result}, true, nil
+	return Found{recovery.Entry{State: r.state, Body: r.body, Until: r.until, At: r.written}, r.head, r.result}, true, nil
 }
 
 // firstRead holds most records whole.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -27,13 +27,14 @@
 
 // rig is a store on a disk that fails, with a clock of its own.
 type rig struct {
-	t     interface{ Fatalf(string, ...any) }
-	disk  *stand.Disk
-	b     store.Bounds
-	s     *store.Store
-	mu    sync.Mutex
-	at    float64
-	lines []string
+	t      interface{ Fatalf(string, ...any) }
+	disk   *stand.Disk
+	b      store.Bounds
+	s      *store.Store
+	mu     sync.Mutex
+	at     float64
+	window float64 // of today's settings, where it is longer
+	lines  []string
 }
 
 func (r *rig) now() float64 {
@@ -102,7 +103,7 @@
 	case !has:
 		return "unknown"
 	}
-	switch recovery.Tell(f.Entry, r.now(), body, r.b.Tolerance) {
+	switch recovery.Tell(f.Entry, r.now(), body, r.window, r.b.Tolerance) {
 	case recovery.Answer:
 		return "answer " + string(f.Result)
 	case recovery.MayRun:
@@ -334,6 +335,31 @@
 			r.pass(200)
 			r.expect("unknown", "a")
 		}},
+		{"a window longer than before in the new settings", func(r *rig) {
+			r.begin("a", 7)
+			r.end("a", recovery.Done, 7, "x")
+			r.s.Close()
+			r.b.Window, r.window = 3*window, 3*window
+			r.must()
+			r.pass(2 * window)
+			if r.s.May(); r.s.State().Segments != 2 {
+				r.t.Fatalf("its segment is gone")
+			}
+			r.expect("answer x", "a")
+			r.pass(window + 1000)
+			r.expect("unknown", "a")
+		}},
+		{"the power goes again and again while it is read", func(r *rig) {
+			r.begin("a", 7)
+			r.end("a", recovery.Done, 7, "x")
+			for range 20 {
+				r.crash()
+			}
+			r.expect("answer x", "a")
+			if x := r.s.May(); x != nil {
+				r.t.Fatalf("%+v", x)
+			}
+		}},
 		{"closed while records are on their way", func(r *rig) {
 			r.s.May()
 			done := make(chan error, 1)
