A test waits until a kept connection is booked as idle before it ages it

In one run of twenty the answer was read before the connection was booked as idle, so the time set back by the test was set anew and it waited ten seconds in vain.

--- a/internal/front/uwsgi/server_test.go
+++ b/internal/front/uwsgi/server_test.go
@@ -472,6 +472,11 @@
 			r.expect("200 a")
 			for _, c := range r.table.All() {
 				c := c.(*conn)
+				r.until("it is booked as idle", func() bool { // which follows the answer
+					c.Mu.Lock()
+					defer c.Mu.Unlock()
+					return c.Open == 0
+				})
 				c.Mu.Lock()
 				c.Last = c.Last.Add(-time.Hour)
 				c.Mu.Unlock()
