Reload goes through the core of the configuration; valvectl diff compares two records

Each part had its own way of saying what a running process can't take anew. The operator's file is now a version of the core: a reload is committed whole or changes nothing, the error names the path, and the log tells the number of the version that runs. The engine's runner stands once, in its package, where the daemon and the lab each had a copy.

--- a/cmd/sorrelvalve/extras.go
+++ b/cmd/sorrelvalve/extras.go
@@ -5,12 +5,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"sorrelvalve/choose/configure"
+	"sorrelvalve/choose/route"
 	"sorrelvalve/control"
 	"sorrelvalve/internal/back/pools"
 	"sorrelvalve/internal/front"
@@ -21,7 +25,7 @@
 
 // extras are the parts that an operator's file sets.
 type extras struct {
-	first *operator.File
+	core  *configure.Core // of the reload's goroutine
 	log   *logrus.Entry
 	pools *pools.Backs
 	run   gate.Runner
@@ -33,7 +37,18 @@
 	ctx context.Context, t told, table *front.Table, g *gate.Gate, engine gate.Runner, log *logrus.Entry,
 ) (*extras, error) {
 	f := &t.op.File
-	x := &extras{first: f, log: log, pools: pools.New(t.Opening.Node.Seed, log)}
+	tree, err := operator.Tree(f)
+	if err != nil {
+		return nil, err
+	}
+	set, known := f.Descriptors(), operator.KnownOf(t.Opening)
+	x := &extras{log: log, pools: pools.New(t.Opening.Node.Seed, log)}
+	x.core, err = configure.New(configure.Version{Number: 1, At: float64(time.Now().UnixMilli()), Origin: "start", Tree: tree}, func(t configure.Tree) []configure.Fault {
+		return wrong(t, known, set)
+	}, nil, operator.StartOnly, versionsKept)
+	if err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
+	}
 	x.pools.Set(f)
 	methods := t.Opening.Methods
 	x.run = x.pools.Runner(engine, func(name string) bool {
@@ -59,22 +74,42 @@
 	}
 }
 
-// set takes a new file, whole or not at all.
-func (x *extras) set(next told) error {
+// versionsKept are as many as an operator goes back over: a day's changes.
+const versionsKept = 20
+
+// wrong names what is wrong with settings for this process, of which so many descriptors were set aside.
+func wrong(t configure.Tree, known route.Known, set int) (faults []configure.Fault) {
+	f, err := operator.FromTree(t)
+	if err != nil {
+		return []configure.Fault{{Text: err.Error()}}
+	}
+	for _, x := range operator.Check(f, known) {
+		faults = append(faults, configure.Fault{Path: configure.Path{x.Path}, Text: x.Text})
+	}
+	if n := f.Descriptors(); n > set {
+		faults = append(faults, configure.Fault{Path: configure.Path{"pools"}, Text: fmt.Sprintf(
+			"they may take %d descriptors with the rest, and %d were set aside at the start; more need a new start", n, set)})
+	}
+	return faults
+}
+
+// set takes a new file, whole or not at all, and returns the number of the version that runs.
+func (x *extras) set(next told) (version int, err error) {
 	if next.op == nil {
-		return fmt.Errorf("operator: the record is gone")
+		return 0, errors.New("operator: the record is gone")
 	}
 	f := &next.op.File
-	if most := x.first.Descriptors(); f.Descriptors() > most {
-		return fmt.Errorf("operator: the file's parts may take %d descriptors, and %d were set aside at the start; more need a new start",
-			f.Descriptors(), most)
+	tree, err := operator.Tree(f)
+	if err != nil {
+		return 0, err
 	}
-	if stays := x.first.Stays(f); len(stays) > 0 {
-		return fmt.Errorf("operator: %s: only a new start can change it", brief(stays))
+	v, err := x.core.Commit(tree, x.core.Running().Number, float64(time.Now().UnixMilli()), "reload", true)
+	if err != nil {
+		return v.Number, fmt.Errorf("operator: %w", err)
 	}
 	x.pools.Set(f)
 	if x.web != nil {
 		x.web.Set(f)
 	}
-	return nil
+	return v.Number, nil
 }
--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -20,7 +19,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"sorrelvalve/choose/retry"
 	"sorrelvalve/internal/back/engine"
 	"sorrelvalve/internal/front"
 	"sorrelvalve/internal/front/mprpc"
@@ -150,7 +148,7 @@
 	}
 	link := engine.New(p.Engine, log, begun)
 	table := front.NewTable(sockets, g.Idle, log)
-	run := engineRunner(link)
+	run := link.Runner()
 	var more *extras
 	if t.op != nil {
 		if more, err = newExtras(ctx, t, table, g, run, log); err != nil {
@@ -179,8 +177,9 @@
 			case <-reread:
 			}
 			next, err := load()
+			number := 0
 			if err == nil && more != nil {
-				err = more.set(next)
+				number, err = more.set(next)
 			}
 			if err != nil {
 				log.WithError(err).Error("reload: the configuration is wrong, the old one stays")
@@ -194,7 +193,7 @@
 			report.Move(ctx, next.Members)
 			done := log.WithFields(logrus.Fields{"engine": next.Engine, "members": next.Members})
 			if next.op != nil {
-				done = done.WithFields(logrus.Fields{"version": next.op.File.Version, "hash": next.op.Hash[:12]})
+				done = done.WithFields(logrus.Fields{"version": next.op.File.Version, "hash": next.op.Hash[:12], "number": number})
 			}
 			done.Info("reload: done")
 		}
@@ -259,21 +258,3 @@
 		wait.Reset(g.Tick(link.Gauges(gaugeWait)))
 	}
 }
-
-// engineRunner has runs done by the engine. An error that proves that nothing ran is told as such; any other may have
-// had its effect.
-func engineRunner(link *engine.Link) gate.Runner {
-	return func(w gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
-		link.Run(w.ID, w.Method, w.Body, func(e engine.End) {
-			var failed *retry.Error
-			switch {
-			case e.Err == nil:
-				done(gate.Succeeded, e.Spent, nil, e.Result)
-			case errors.As(e.Err, &failed) && failed.Reached < retry.MayHaveRun:
-				done(gate.NotStarted, e.Spent, nil, nil)
-			default:
-				done(gate.Failed, e.Spent, nil, nil)
-			}
-		})
-	}
-}
--- a/cmd/sorrelvalve/serve_test.go
+++ b/cmd/sorrelvalve/serve_test.go
@@ -386,7 +386,7 @@
 	w.reported("first OUT")
 	w.conn.Close()
 	w.ended()
-	for _, want := range []string{"no record", "a new start", "uwsgi.listen"} {
+	for _, want := range []string{"no record", "more need a new start", "/uwsgi/listen: only a new start", "number=2"} {
 		if !strings.Contains(w.lines.String(), want) {
 			t.Errorf("no %q in the log: %s", want, w.lines.String())
 		}
--- a/cmd/valvectl/main.go
+++ b/cmd/valvectl/main.go
@@ -3,11 +3,14 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/alecthomas/kong"
 
+	"sorrelvalve/choose/configure"
 	"sorrelvalve/choose/route"
 	"sorrelvalve/internal/cuefile"
 	"sorrelvalve/internal/opening"
@@ -18,6 +21,7 @@
 	Check   checkCmd   `cmd:"" help:"Read an operator's file and tell what is wrong with it, by file, line and key."`
 	Compile compileCmd `cmd:"" help:"Check it and write the record that serve --operator reads."`
 	Show    showCmd    `cmd:"" help:"Tell what a record is: version, hash and what it sets."`
+	Diff    diffCmd    `cmd:"" help:"Tell what differs from one record to another, and what of it needs a new start."`
 	Schema  schemaCmd  `cmd:"" help:"Print the schema of the operator's file."`
 	Plan    planCmd    `cmd:"" help:"Search settings that would have served more over a trace."`
 }
@@ -106,6 +110,49 @@
 	return nil
 }
 
+type diffCmd struct {
+	Was string `arg:"" type:"existingfile"`
+	Is  string `arg:"" type:"existingfile"`
+}
+
+func (c *diffCmd) Run() error {
+	var trees [2]configure.Tree
+	for i, path := range []string{c.Was, c.Is} {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		r, err := operator.Read(b)
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		if trees[i], err = operator.Tree(&r.File); err != nil {
+			return err
+		}
+	}
+	for _, x := range configure.Diff(trees[0], trees[1]) {
+		fmt.Printf("%s: %s -> %s", x.Path, leaf(x.Was), leaf(x.Is))
+		for _, top := range operator.StartOnly {
+			if len(x.Path) >= len(top) && slices.Equal(x.Path[:len(top)], top) {
+				fmt.Print("  (needs a new start)")
+			}
+		}
+		fmt.Println()
+	}
+	return nil
+}
+
+func leaf(v any) string {
+	if v == nil {
+		return "nothing"
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
 type schemaCmd struct{}
 
 func (schemaCmd) Run() error { fmt.Print(cuefile.Schema()); return nil }
--- /dev/null
+++ b/internal/back/engine/runner.go
@@ -0,0 +1,28 @@
+package engine
+
+// This file owns the link as a back of the gate's. It must never call a run not started that may have been.
+
+import (
+	"errors"
+
+	"sorrelvalve/choose/retry"
+	"sorrelvalve/internal/gate"
+)
+
+// Runner has runs done by the engine. An error that proves that nothing ran is told as such; any other may have had its
+// effect.
+func (l *Link) Runner() gate.Runner {
+	return func(w gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
+		l.Run(w.ID, w.Method, w.Body, func(e End) {
+			var failed *retry.Error
+			switch {
+			case e.Err == nil:
+				done(gate.Succeeded, e.Spent, nil, e.Result)
+			case errors.As(e.Err, &failed) && failed.Reached < retry.MayHaveRun:
+				done(gate.NotStarted, e.Spent, nil, nil)
+			default:
+				done(gate.Failed, e.Spent, nil, nil)
+			}
+		})
+	}
+}
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,7 +15,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"sorrelvalve/choose/retry"
 	"sorrelvalve/control"
 	"sorrelvalve/internal/back/engine"
 	"sorrelvalve/internal/back/pools"
@@ -81,19 +79,7 @@
 	link := engine.New(engineAddr, log, s.Gate.Start)
 	table := front.NewTable(4096, s.Gate.Idle, log)
 	s.Pools.Set(f)
-	run := s.Pools.Runner(func(w gate.Work, done func(gate.Outcome, float64, []byte, []byte)) {
-		link.Run(w.ID, w.Method, w.Body, func(e engine.End) {
-			var failed *retry.Error
-			switch {
-			case e.Err == nil:
-				done(gate.Succeeded, e.Spent, nil, e.Result)
-			case errors.As(e.Err, &failed) && failed.Reached < retry.MayHaveRun:
-				done(gate.NotStarted, e.Spent, nil, nil)
-			default:
-				done(gate.Failed, e.Spent, nil, nil)
-			}
-		})
-	}, func(name string) bool {
+	run := s.Pools.Runner(link.Runner(), func(name string) bool {
 		i := slices.IndexFunc(o.Methods, func(m control.Method) bool { return m.Name == name })
 		return i >= 0 && o.Methods[i].Repeat == control.Idempotent
 	})
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,7 +13,6 @@
 	"io"
 	"net"
 	"os"
-	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -468,28 +467,5 @@
 	return n
 }
 
-// Stays names the keys in which next differs though a running process can't take them anew.
-func (f *File) Stays(next *File) (all []string) {
-	if f.Hold != next.Hold {
-		all = append(all, "hold")
-	}
-	if !reflect.DeepEqual(f.Limits, next.Limits) {
-		all = append(all, "limits")
-	}
-	if !reflect.DeepEqual(f.Store, next.Store) {
-		all = append(all, "store")
-	}
-	if !reflect.DeepEqual(f.Trace, next.Trace) {
-		all = append(all, "trace")
-	}
-	switch {
-	case (f.UWSGI == nil) != (next.UWSGI == nil):
-		all = append(all, "uwsgi")
-	case f.UWSGI != nil && f.UWSGI.Listen != next.UWSGI.Listen:
-		all = append(all, "uwsgi.listen")
-	}
-	return all
-}
-
 // Ms is a time of the file.
 func Ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,12 +1,13 @@
 package operator
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
+	"sorrelvalve/choose/configure"
 	"sorrelvalve/choose/route"
 	"sorrelvalve/internal/opening"
 )
@@ -89,20 +90,44 @@
 	}
 }
 
-func TestStays(t *testing.T) {
+// A file is the same after it has been a tree, and what only a new start can change is told from the rest.
+func TestTree(t *testing.T) {
+	tree, err := Tree(sound())
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := FromTree(tree)
+	if err != nil || !reflect.DeepEqual(back, sound()) {
+		t.Errorf("%+v, error %v", back, err)
+	}
+	tree["none"] = 1.0
+	if _, err := FromTree(tree); err == nil {
+		t.Error("a key that is not known was taken")
+	}
+	delete(tree, "none")
 	for _, c := range []struct {
 		change func(*File)
-		want   string
+		want   string // of the error; "" for none
 	}{
-		{func(f *File) { f.UWSGI.BodyBytes = 1; f.Routes = nil; f.Pools = nil }, "[]"},
-		{func(f *File) { f.UWSGI.Listen = "127.0.0.1:1" }, "[uwsgi.listen]"},
-		{func(f *File) { f.UWSGI = nil }, "[uwsgi]"},
-		{func(f *File) { f.Hold.SettledMs = 20 }, "[hold]"},
+		{func(f *File) { f.UWSGI.BodyBytes = 1; delete(f.Routes, "view") }, ""},
+		{func(f *File) { f.UWSGI.Listen = "127.0.0.1:1" }, "/uwsgi/listen: only a new start"},
+		{func(f *File) { f.UWSGI = nil }, "/uwsgi/listen: only a new start"},
+		{func(f *File) { f.Hold.SettledMs = 20 }, "/hold/settled_ms: only a new start"},
+		{func(f *File) { f.Store = &Store{Dir: "/x"} }, "/store/"},
 	} {
+		x, err := configure.New(configure.Version{Number: 1, Tree: tree}, func(configure.Tree) []configure.Fault { return nil }, nil, StartOnly, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
 		next := sound()
 		c.change(next)
-		if got := fmt.Sprint(sound().Stays(next)); got != c.want {
-			t.Errorf("stays %s, want %s", got, c.want)
+		candidate, err := Tree(next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = x.Commit(candidate, 1, 0, "test", true)
+		if (err == nil) != (c.want == "") || err != nil && !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("error %v, want %q", err, c.want)
 		}
 	}
 	if n := sound().Descriptors(); n != 9 {
--- /dev/null
+++ b/internal/operator/tree.go
@@ -0,0 +1,37 @@
+package operator
+
+// This file owns the file as a tree for package configure, and which parts of it a running process can't take anew. It
+// must never drop a key on the way.
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"sorrelvalve/choose/configure"
+)
+
+// StartOnly are the paths that only a new start can change: what the decisions are made from, where the front listens,
+// and the files that are held open.
+var StartOnly = []configure.Path{{"hold"}, {"limits"}, {"trace"}, {"store"}, {"uwsgi", "listen"}}
+
+// Tree is a file as a tree.
+func Tree(f *File) (configure.Tree, error) {
+	b, err := json.Marshal(f)
+	if err != nil {
+		return nil, err
+	}
+	var t configure.Tree
+	return t, json.Unmarshal(b, &t)
+}
+
+// FromTree is the file that a tree says, read as strictly as a record.
+func FromTree(t configure.Tree) (*File, error) {
+	b, err := json.Marshal(t)
+	if err != nil {
+		return nil, err
+	}
+	f := &File{}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	return f, d.Decode(f)
+}
