Latency and silence may eject few members of a pool: each that goes loads the rest

Members under more load than they bear are slow and silent, too; sound ones were ejected for it, up to the half that min_share allows, and what was left ran over its capacity, so that the next looked silent. Soft evidence now leaves three quarters of the members in use, and silence is measured by the member's own latency as well, at ten times instead of six. Failures, which are no matter of load, still go by min_share alone.

--- a/choose/pool/pool.go
+++ b/choose/pool/pool.go
@@ -33,10 +33,13 @@
 	weight       = 0.2  // of an answer in the mean: about five, a second or less of one member's traffic
 	firstPart    = 0.1  // of its places, for a member that returns
 	leastSilence = 50.0 // ms without any answer, below which nobody is called silent
-	// silent times the usual latency without any answer, while work is in hand: with several RPCs in flight the
+	// silent times the usual latency, or its own if that is longer, without any answer, while work is in hand: with several RPCs in flight the
 	// chance that a sound member shows none for so long is small.
-	silent = 6.0
-	calm   = 4.0 // times its last ejection without another, and the next one is a first again
+	silent = 10.0
+	// softShare of the members stay in use whatever their latency or silence suggests: these also show in sound members
+	// under more load than they bear, and each one that goes leaves more of it to the next.
+	softShare = 0.75
+	calm      = 4.0 // times its last ejection without another, and the next one is a first again
 )
 
 // Why tells what a member was ejected for.
@@ -375,7 +378,7 @@
 		switch {
 		case p.rules.Outlier > 0 && m.answers >= enough && m.latency > p.rules.Outlier*usual:
 			p.eject(now, m, Slow)
-		case p.rules.Failures > 0 && m.inFlight > 1 && now-m.quiet > math.Max(leastSilence, silent*usual):
+		case p.rules.Failures > 0 && m.inFlight > 1 && now-m.quiet > math.Max(leastSilence, silent*math.Max(usual, m.latency)):
 			p.eject(now, m, Silent)
 		}
 	}
@@ -392,7 +395,11 @@
 			}
 		}
 	}
-	if float64(in-1) < p.rules.MinShare*float64(all) {
+	share := p.rules.MinShare
+	if why == Slow || why == Silent {
+		share = math.Max(share, softShare)
+	}
+	if float64(in-1) < share*float64(all) {
 		return
 	}
 	if now-m.back > calm*m.length { // it had been sound for a while
