The store's state in the log each minute and for programs; a closed gate never pushes back what ran

What a store has used and reserved against its bound was to be seen by no one. The daemon logs it each minute and at its end, Valve.StoreState returns it. A gate that was closed while the end of a run was on its way to the disk pushed that RPC back, though it had run: it is aborted now. Tests: a repeat during recovery, a closed gate, a library that starts anew.

--- a/choose/recovery/recovery.go
+++ b/choose/recovery/recovery.go
@@ -64,6 +64,10 @@
 	Broken          // a write or a sync failed, and none has succeeded since
 )
 
+func (h Health) String() string {
+	return [...]string{"sound", "recovers", "broken"}[min(max(h, 0), Broken)]
+}
+
 // Disk is what is known before a token may begin. Bytes count the whole store.
 type Disk struct {
 	Health  Health
--- a/cmd/sorrelvalve/serve.go
+++ b/cmd/sorrelvalve/serve.go
@@ -136,6 +136,8 @@
 	if t.op != nil && t.op.File.Store != nil { // until it has been read, the server listens and pushes back
 		kept = openStore(t.op.File.Store, &settings, p.Name, log)
 		defer kept.close()
+		defer kept.tell(log) // as it stood at the end
+		go kept.tells(ctx, log)
 		begun = func(cold bool, ago time.Duration) {
 			since := time.Now()
 			if <-kept.ready; kept.err == nil {
--- a/cmd/sorrelvalve/serve_test.go
+++ b/cmd/sorrelvalve/serve_test.go
@@ -485,6 +485,9 @@
 	w.reported("first OUT")
 	w.conn.Close()
 	w.ended()
+	if !strings.Contains(w.lines.String(), `msg="store: state"`) {
+		t.Errorf("logged %s", w.lines.String())
+	}
 	if bad, err := look(dir, true); err != nil || bad != 0 {
 		t.Errorf("%d bad, error %v", bad, err)
 	}
--- a/cmd/sorrelvalve/store.go
+++ b/cmd/sorrelvalve/store.go
@@ -4,6 +4,7 @@
 // never let an RPC in before recovery is over.
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -58,6 +59,38 @@
 	return b
 }
 
+// tellEvery is how often a store's state is told: often enough to see it fill up within a window or two of minutes.
+const tellEvery = time.Minute
+
+// tells logs how the store stands until ctx ends.
+func (x *opened) tells(ctx context.Context, log *logrus.Entry) {
+	t := time.NewTicker(tellEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			x.tell(log)
+		}
+	}
+}
+
+// tell logs how the store stands, once it has been read.
+func (x *opened) tell(log *logrus.Entry) {
+	select {
+	case <-x.ready:
+	default:
+		return
+	}
+	if x.s == nil {
+		return
+	}
+	st := x.s.State()
+	log.WithFields(logrus.Fields{"health": st.Health, "used": int64(st.Used), "reserved": int64(st.Reserve), "segments": st.Segments,
+		"records": st.Records, "syncs": st.Syncs, "dropped": st.Dropped, "failures": st.Failures, "index_kb": int64(st.IndexKB)}).Info("store: state")
+}
+
 // close ends the store once nothing more can ask for it.
 func (x *opened) close() {
 	<-x.ready
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -226,7 +226,7 @@
 	g.closed = true
 	for _, t := range g.tickets {
 		k := t.joins
-		if t.running || k != nil && k.ran {
+		if t.running || t.keeping || k != nil && k.ran { // what ran is never pushed back
 			g.end(t, control.Reset, Verdict{Answer: Aborted, Why: "the server is closed"})
 		} else {
 			g.end(t, control.Reset, Verdict{Answer: PushedBack})
--- a/internal/store/gate_test.go
+++ b/internal/store/gate_test.go
@@ -210,6 +210,30 @@
 			_, again := s.try("k", "x")
 			return first + ", " + again
 		}, "gone, run"},
+		{"a repeat that arrives during recovery: pushed back, then told what the first was", func(s *server) string {
+			a, _ := s.try("k", "x")
+			a.Report(gate.Succeeded, 1, []byte("done"))
+			s.verdict(a)
+			s.crash()
+			kept := s.g
+			o, err := opening.Parse(told)
+			if err != nil {
+				return err.Error()
+			}
+			s.g = gate.New(o, 64, func(string, string) {}) // not started, as the store is being read
+			s.g.UseClock(func() time.Time { return time.UnixMilli(int64(s.now())) })
+			_, early := s.try("k", "x")
+			s.g = kept
+			_, again := s.try("k", "x")
+			return early + ", " + again
+		}, "pushed back, ok done"},
+		{"the gate is closed while an end is on its way to the disk: never pushed back", func(s *server) string {
+			a, _ := s.try("k", "x")
+			s.disk.Set(func(d *stand.Disk) { d.Stall = 50 * time.Millisecond })
+			a.Report(gate.Succeeded, 1, []byte("done"))
+			s.g.Close()
+			return s.verdict(a)
+		}, "aborted"},
 		{"a result too large to keep", func(s *server) string {
 			a, _ := s.try("k", "x")
 			a.Report(gate.Succeeded, 1, make([]byte, 5000))
--- a/valve/observe.go
+++ b/valve/observe.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sorrelvalve/choose/recovery"
 	"sorrelvalve/control"
 	"sorrelvalve/internal/opening"
 	"sorrelvalve/internal/trace"
@@ -86,3 +87,20 @@
 		}
 	}
 }
+
+// StoreState is how a Valve's store stands, for the program's own metrics.
+type StoreState struct {
+	Broken                            bool  // it can't be written: what is tokened is pushed back
+	Used, Reserved                    int64 // bytes
+	Segments                          int
+	Records, Syncs, Dropped, Failures uint64 // so far; Dropped are segments
+}
+
+// StoreState returns how the store stands; false without one.
+func (v *Valve) StoreState() (StoreState, bool) {
+	if v.kept == nil {
+		return StoreState{}, false
+	}
+	s := v.kept.State()
+	return StoreState{s.Health == recovery.Broken, int64(s.Used), int64(s.Reserve), s.Segments, s.Records, s.Syncs, s.Dropped, s.Failures}, true
+}
--- a/valve/valve_test.go
+++ b/valve/valve_test.go
@@ -275,6 +275,38 @@
 	}
 }
 
+// With a store, a repeat after the program has started anew gets the first answer; a folder of another server is an error.
+func TestStore(t *testing.T) {
+	dir := t.TempDir()
+	kept := func(server string) func(*Options) {
+		return func(o *Options) { o.Store, o.Clock = &Store{Dir: dir, Server: server}, time.Now }
+	}
+	v, _ := open(t, kept("a"))
+	r, err := v.Admit(context.Background(), RPC{Method: "buy", Token: "k", Body: []byte("x")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.End(Succeeded, Answer{[]byte("h"), []byte("done")})
+	for v.InHand() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if s, has := v.StoreState(); !has || s.Records != 2 || s.Broken || s.Segments != 1 {
+		t.Errorf("state %+v", s)
+	}
+	v.Close()
+	v, _ = open(t, kept("a"))
+	if r, err := v.Admit(context.Background(), RPC{Method: "buy", Token: "k", Body: []byte("x")}); err != nil {
+		t.Error(err)
+	} else if a, is := r.Kept(); !is || string(a.Body) != "done" || string(a.Head) != "h" {
+		t.Errorf("kept %+v", a)
+	}
+	v.Close()
+	o := Options{Methods: []Method{{Name: "view"}}, Store: &Store{Dir: dir, Server: "b"}}
+	if _, err := New(o); err == nil || !strings.Contains(err.Error(), "another server") {
+		t.Error(err)
+	}
+}
+
 // What the gauges say of a process that spins, and of one that waits.
 func TestGauges(t *testing.T) {
 	g := newOwnGauges(1)
