The gate reads its store under its lock; what stood twice or was used by nothing is gone

Read once more: a server listens while its store is still being read, so the gate's store is set while RPCs come in, and Enter looked at it without the lock. It is now taken under the lock that recall holds anyway. Both fronts booked in the same words that a peer had been asked for no more; that is Life.Tell now. lab.JSON and stand.ErrBar had no caller.

--- a/internal/front/life.go
+++ b/internal/front/life.go
@@ -59,6 +59,17 @@
 	return Busy, l.Last
 }
 
+// Tell books that the peer is asked for no more, and tells whether that is the first time.
+func (l *Life) Tell() bool {
+	l.Mu.Lock()
+	defer l.Mu.Unlock()
+	first := l.Told.IsZero()
+	if first {
+		l.Told = time.Now()
+	}
+	return first
+}
+
 // Give closes the connection unless something has come on it. What crosses that is sent again: it is not taken here.
 func (l *Life) Give(last time.Time) {
 	l.Mu.Lock()
--- a/internal/front/mprpc/conn.go
+++ b/internal/front/mprpc/conn.go
@@ -271,13 +271,7 @@
 
 // Closing asks the router for no more RPCs here.
 func (c *conn) Closing() {
-	c.Mu.Lock()
-	told := !c.Told.IsZero()
-	if !told {
-		c.Told = time.Now()
-	}
-	c.Mu.Unlock()
-	if !told {
+	if c.Tell() {
 		go c.write(closingNotice()) // a caller that reads slowly must not hold up the one who asks
 	}
 }
--- a/internal/front/uwsgi/conn.go
+++ b/internal/front/uwsgi/conn.go
@@ -332,13 +332,7 @@
 // Closing asks for no more: the protocol has no word for it, so a connection that is kept is closed after its answer,
 // or once it has been idle for as long as an RPC may be on its way.
 func (c *conn) Closing() {
-	c.Mu.Lock()
-	told := !c.Told.IsZero()
-	if !told {
-		c.Told = time.Now()
-	}
-	c.Mu.Unlock()
-	if !told {
+	if c.Tell() {
 		time.AfterFunc(crossing, c.leaveIdle)
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -211,7 +211,11 @@
 func (g *Gate) UseClock(now func() time.Time) { g.now = now }
 
 // Keep has tokens kept by k. It must be called before Start.
-func (g *Gate) Keep(k Keeper) { g.store = k }
+func (g *Gate) Keep(k Keeper) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.store = k
+}
 
 // Trace has all decisions told to t. It must be called before Start.
 func (g *Gate) Trace(t Tracer) { g.trace = t }
@@ -273,7 +277,7 @@
 		return nil, fmt.Errorf("method %s: a token expected, none there", r.Method)
 	}
 	var stored stored
-	if tokened && g.store != nil {
+	if tokened {
 		stored = g.recall(r)
 	}
 	g.mu.Lock()
@@ -351,15 +355,17 @@
 
 // recall asks the store for a token that this process does not know.
 func (g *Gate) recall(r RPC) (s stored) {
-	s.body = g.store.Hash(r.Body)
 	key := r.Method + "\x00" + r.Token
 	g.mu.Lock()
-	now := unixMs(g.now())
+	store, now := g.store, unixMs(g.now()) // a store comes while the server listens already
 	k := g.tokens[key]
 	known := k != nil && r.Door < k.until
 	g.mu.Unlock()
-	if !known {
-		s.says, s.head, s.result = g.store.Find(key, s.body, math.Min(r.Door, now), g.told.Methods[g.methods[r.Method]].Window)
+	if store == nil {
+		return s
+	}
+	if s.body = store.Hash(r.Body); !known {
+		s.says, s.head, s.result = store.Find(key, s.body, math.Min(r.Door, now), g.told.Methods[g.methods[r.Method]].Window)
 	}
 	return s
 }
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -227,6 +226,3 @@
 		return false
 	}
 }
-
-// JSON is v as text, for a failed experiment's report.
-func JSON(v any) string { b, _ := json.Marshal(v); return string(b) }
--- a/internal/stand/callers.go
+++ b/internal/stand/callers.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -594,6 +593,3 @@
 	sort.Float64s(v)
 	return v[min(len(v)-1, int(q*float64(len(v))))]
 }
-
-// ErrBar is that a measured figure falls short of what was wanted.
-var ErrBar = errors.New("a bar falls short")
