Servers of a fleet know one another: membership, records, and what each hears

Need: how many copies behave together when some break, stall or lose contact needs a ground: who is there, what is heard, and when a server may not judge at all. Nothing of it is used by a command yet; the daemon links none of it. Change: choose/hearing tells whole, part or alone with safe ends, and rules out the server's own stall first; its Identity learns which start of its name a server is, from peers, with neither clock nor disk. choose/spread keeps the newest record of each origin by (start, life, sequence), bounded, damaged ones counted. internal/fleet runs memberlist 0.6.0 under both: its transport dials from the server's own address, bounds what a source sends, and lets nothing pass once the server has stalled, until a detector that knows nothing has been begun. A status socket on demand. Found on the way: memberlist's UpdateNode with no time-out waits for ever once its node has left.

--- /dev/null
+++ b/choose/spread/spread.go
@@ -0,0 +1,322 @@
+// Package spread keeps the newest record that each origin has said under each of its keys, and tells which of those that
+// come are news. The newest by (start, sequence) wins, in whatever order and however often records come, so that all who
+// heard the same hold the same. It is bounded by bytes and count, for each origin and in all. It does no I/O and has no
+// clock of its own; an instance must be guarded by its owner. It must never read what a record says, nor let a damaged
+// one in.
+package spread
+
+import (
+	"cmp"
+	"errors"
+	"hash/crc32"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Record is one thing that one origin says.
+type Record struct {
+	Origin string
+	Key    string
+	Start  uint64 // of the origin: larger after each restart
+	Life   uint64 // drawn by the origin at its start; tells apart two that claim one start
+	Seq    uint64 // within the start
+	Body   []byte
+}
+
+// newer tells whether r goes before o. Of two lives with one start the larger draw wins, everywhere alike.
+func (r *Record) newer(o *Record) bool {
+	return cmp.Or(cmp.Compare(r.Start, o.Start), cmp.Compare(r.Life, o.Life), cmp.Compare(r.Seq, o.Seq)) > 0
+}
+
+var (
+	ErrDamaged = errors.New("a record is damaged")
+	ErrBounds  = errors.New("a record is over the bounds")
+)
+
+// The fields of a record on the wire, as in internal/fleet/fleet.proto. Fields of later builds are passed over when read
+// and stay in the bytes that are passed on.
+const (
+	fOrigin = 1
+	fKey    = 2
+	fStart  = 3
+	fSeq    = 4
+	fBody   = 5
+	fLife   = 6
+	fSum    = 15
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// sumBytes is what the sum at a record's end takes: the field's number, and four bytes.
+const sumBytes = 5
+
+// Append writes a record: its fields, and last the sum of all bytes before.
+func (r *Record) Append(b []byte) []byte {
+	from := len(b)
+	b = protowire.AppendString(protowire.AppendTag(b, fOrigin, protowire.BytesType), r.Origin)
+	b = protowire.AppendString(protowire.AppendTag(b, fKey, protowire.BytesType), r.Key)
+	b = protowire.AppendVarint(protowire.AppendTag(b, fStart, protowire.VarintType), r.Start)
+	b = protowire.AppendVarint(protowire.AppendTag(b, fSeq, protowire.VarintType), r.Seq)
+	b = protowire.AppendBytes(protowire.AppendTag(b, fBody, protowire.BytesType), r.Body)
+	b = protowire.AppendFixed64(protowire.AppendTag(b, fLife, protowire.Fixed64Type), r.Life)
+	return appendSum(b, from)
+}
+
+// appendSum ends a record that begins at from.
+func appendSum(b []byte, from int) []byte {
+	sum := crc32.Checksum(b[from:], castagnoli)
+	return protowire.AppendFixed32(protowire.AppendTag(b, fSum, protowire.Fixed32Type), sum)
+}
+
+// Parse reads a record. The body is a part of b.
+func Parse(b []byte) (r Record, err error) {
+	if len(b) <= sumBytes || b[len(b)-sumBytes] != fSum<<3|byte(protowire.Fixed32Type) {
+		return r, ErrDamaged
+	}
+	fields := b[:len(b)-sumBytes]
+	if sum, n := protowire.ConsumeFixed32(b[len(fields)+1:]); n < 0 || sum != crc32.Checksum(fields, castagnoli) {
+		return r, ErrDamaged
+	}
+	for len(fields) > 0 {
+		num, typ, n := protowire.ConsumeTag(fields)
+		if n < 0 {
+			return r, ErrDamaged
+		}
+		v := fields[n:]
+		switch {
+		case num == fOrigin && typ == protowire.BytesType:
+			r.Origin, n = protowire.ConsumeString(v)
+		case num == fKey && typ == protowire.BytesType:
+			r.Key, n = protowire.ConsumeString(v)
+		case num == fStart && typ == protowire.VarintType:
+			r.Start, n = protowire.ConsumeVarint(v)
+		case num == fSeq && typ == protowire.VarintType:
+			r.Seq, n = protowire.ConsumeVarint(v)
+		case num == fBody && typ == protowire.BytesType:
+			r.Body, n = protowire.ConsumeBytes(v)
+		case num == fLife && typ == protowire.Fixed64Type:
+			r.Life, n = protowire.ConsumeFixed64(v)
+		default:
+			n = protowire.ConsumeFieldValue(num, typ, v)
+		}
+		if n < 0 {
+			return r, ErrDamaged
+		}
+		fields = v[n:]
+	}
+	if r.Origin == "" || r.Key == "" {
+		return r, ErrDamaged
+	}
+	return r, nil
+}
+
+// Bounds are those of a Table. Bytes are those of records as written.
+type Bounds struct {
+	Origins     int // that are known at a time
+	Keys        int // of one origin
+	RecordBytes int // of one record
+	OriginBytes int // of one origin
+}
+
+// Usual bounds 4,096 servers to 64 MB in all, with a record small enough to travel in one packet beside others.
+var Usual = Bounds{Origins: 4096, Keys: 16, RecordBytes: 1024, OriginBytes: 16 << 10}
+
+// Counts are of what came since the table was made.
+type Counts struct{ News, Known, Old, Damaged, Over uint64 }
+
+// entry is a record as it came.
+type entry struct {
+	Record
+	raw []byte
+	at  float64 // when it was heard
+}
+
+type origin struct {
+	name  string
+	keys  []entry // by key
+	bytes int
+	start uint64 // the newest life of it
+	life  uint64
+	heard float64 // last news of any key
+}
+
+// Table holds the records.
+type Table struct {
+	b       Bounds
+	origins map[string]*origin
+	Counts  Counts
+}
+
+// NewTable returns an empty one.
+func NewTable(b Bounds) *Table { return &Table{b: b, origins: map[string]*origin{}} }
+
+// What Put found.
+type Found int
+
+const (
+	News    Found = iota // newer than all that was known: to be passed on
+	Known                // the very one that is known
+	Old                  // something newer is known
+	Damaged              // not a record
+	Over                 // over the bounds; nothing was changed
+)
+
+// Put takes a record as written, at now in ms. The bytes are copied if they are kept.
+func (t *Table) Put(now float64, raw []byte) (Record, Found) {
+	r, err := Parse(raw)
+	if err != nil {
+		t.Counts.Damaged++
+		return r, Damaged
+	}
+	f := t.put(now, &r, raw)
+	switch f {
+	case News:
+		t.Counts.News++
+	case Known:
+		t.Counts.Known++
+	case Old:
+		t.Counts.Old++
+	case Over:
+		t.Counts.Over++
+	}
+	return r, f
+}
+
+func (t *Table) put(now float64, r *Record, raw []byte) Found {
+	if len(raw) > t.b.RecordBytes {
+		return Over
+	}
+	o := t.origins[r.Origin]
+	if o == nil {
+		if len(t.origins) >= t.b.Origins {
+			return Over
+		}
+		o = &origin{name: r.Origin, start: r.Start, life: r.Life, heard: now}
+	}
+	this := cmp.Or(cmp.Compare(r.Start, o.start), cmp.Compare(r.Life, o.life))
+	if this < 0 {
+		return Old
+	}
+	if this > 0 { // another life of it: what the former one said is no longer said
+		o.keys, o.bytes, o.start, o.life = nil, 0, r.Start, r.Life
+	}
+	i, has := slices.BinarySearchFunc(o.keys, r.Key, func(e entry, key string) int { return cmp.Compare(e.Key, key) })
+	grows := len(raw)
+	if has {
+		if e := &o.keys[i]; !r.newer(&e.Record) {
+			if r.Seq == e.Seq {
+				return Known
+			}
+			return Old
+		}
+		grows -= len(o.keys[i].raw)
+	} else if len(o.keys) >= t.b.Keys {
+		return Over
+	}
+	if o.bytes+grows > t.b.OriginBytes {
+		return Over
+	}
+	e := entry{raw: slices.Clone(raw), at: now} // as it came, fields of later builds and all
+	e.Record, _ = Parse(e.raw)
+	if has {
+		o.keys[i] = e
+	} else {
+		o.keys = slices.Insert(o.keys, i, e)
+	}
+	o.bytes += grows
+	o.heard = now
+	t.origins[r.Origin] = o
+	return News
+}
+
+// Get returns what an origin says under a key, and for how long in ms that has been known.
+func (t *Table) Get(now float64, name, key string) (r Record, age float64, has bool) {
+	o := t.origins[name]
+	if o == nil {
+		return r, 0, false
+	}
+	for i := range o.keys {
+		if e := &o.keys[i]; e.Key == key {
+			return e.Record, now - e.at, true
+		}
+	}
+	return r, 0, false
+}
+
+// Newest tells the newest life of an origin that is known.
+func (t *Table) Newest(name string) (start, life uint64, has bool) {
+	if o := t.origins[name]; o != nil {
+		return o.start, o.life, true
+	}
+	return 0, 0, false
+}
+
+// Forget drops all of an origin.
+func (t *Table) Forget(name string) { delete(t.origins, name) }
+
+// Origins are the names of all that are known, sorted.
+func (t *Table) Origins() []string {
+	all := make([]string, 0, len(t.origins))
+	for name := range t.origins {
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Each calls f for each record under a key, by origin, with its age in ms.
+func (t *Table) Each(now float64, key string, f func(r *Record, age float64)) {
+	for _, name := range t.Origins() {
+		for i := range t.origins[name].keys {
+			if e := &t.origins[name].keys[i]; e.Key == key {
+				f(&e.Record, now-e.at)
+			}
+		}
+	}
+}
+
+// AppendAll writes every record, each behind its length, up to most bytes in all; those of origins that were heard
+// last come first, so that what does not fit is what others are the likeliest to know.
+func (t *Table) AppendAll(b []byte, most int) []byte {
+	all := make([]*origin, 0, len(t.origins))
+	for _, o := range t.origins {
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(x, y *origin) int {
+		return cmp.Or(cmp.Compare(y.heard, x.heard), cmp.Compare(x.name, y.name))
+	})
+	from := len(b)
+	for _, o := range all {
+		for i := range o.keys {
+			raw := o.keys[i].raw
+			if len(b)-from+len(raw)+protowire.SizeVarint(uint64(len(raw))) > most {
+				return b
+			}
+			b = protowire.AppendBytes(b, raw)
+		}
+	}
+	return b
+}
+
+// Split calls f for each record in what AppendAll wrote, and tells whether all of it could be read.
+func Split(b []byte, f func(raw []byte)) bool {
+	for len(b) > 0 {
+		raw, n := protowire.ConsumeBytes(b)
+		if n < 0 {
+			return false
+		}
+		f(raw)
+		b = b[n:]
+	}
+	return true
+}
+
+// Size is what stands in the table.
+func (t *Table) Size() (origins, records, bytes int) {
+	for _, o := range t.origins {
+		records += len(o.keys)
+		bytes += o.bytes
+	}
+	return len(t.origins), records, bytes
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,290 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"sorrelvalve/choose/hearing"
+	"sorrelvalve/choose/spread"
+)
+
+const soon = 20 * time.Second // bounds what must come
+
+func quiet() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l.WithField("node", "test")
+}
+
+// wait polls until a thing holds.
+func wait(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(soon); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %s", what, soon)
+		}
+	}
+}
+
+// free is an address whose packets and streams nobody takes just now.
+func free(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func open(t *testing.T, o Options) *Fleet {
+	t.Helper()
+	if o.Log == nil {
+		o.Log = quiet()
+	}
+	f, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+func hears(f *Fleet, state hearing.State, heard int) func() bool {
+	return func() bool {
+		v := f.View()
+		return v.State == state && v.Heard == heard
+	}
+}
+
+func TestFourOnLoopback(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	addrs := []string{free(t), free(t), free(t), free(t)}
+	phase := Cold
+	var fleet []*Fleet
+	for i, a := range addrs {
+		o := Options{Name: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i%2), Listen: a, Seeds: addrs, Key: []byte("0123456789abcdef"), Version: "v1", Log: quiet()}
+		if i == 1 {
+			o.Phase = func() (Phase, float64) { return phase, 0.25 }
+		}
+		f, err := Start(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet = append(fleet, f)
+		defer f.Close()
+	}
+	for _, f := range fleet {
+		wait(t, f.o.Name+" hears all", hears(f, hearing.Whole, 4))
+	}
+	wait(t, "the phase of n1 is known", func() bool {
+		s := fleet[3].Status()
+		return s.Peers[1].Phase == "cold" && s.Peers[1].Ramp == 0.25 && s.Peers[1].Zone == "z1"
+	})
+	if err := fleet[0].Say("x", []byte("word")); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "a record travels", func() (has bool) {
+		fleet[2].Each("x", func(r *spread.Record, age float64) { has = r.Origin == "n0" && string(r.Body) == "word" })
+		return has
+	})
+	fleet[1].Close()
+	wait(t, "who leaves is off the roster", func() bool { v := fleet[0].View(); return v.State == hearing.Whole && v.Roster == 3 })
+}
+
+// A server that comes again under its name goes before its former life, whose records are still about.
+func TestRestart(t *testing.T) {
+	t.Parallel()
+	addrs := []string{free(t), free(t)}
+	a := open(t, Options{Name: "a", Listen: addrs[0], Seeds: addrs})
+	b, err := Start(Options{Name: "b", Listen: addrs[1], Seeds: addrs, Log: quiet()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "a hears b", hears(a, hearing.Whole, 2))
+	b.Say("x", []byte("old"))
+	wait(t, "a has b's record", func() bool { _, _, has := a.Get("b", "x"); return has })
+	b.kill()
+	b = open(t, Options{Name: "b", Listen: addrs[1], Seeds: addrs})
+	wait(t, "b raises its start", func() bool { return b.Status().Start == 2 })
+	wait(t, "a knows it by that", func() bool { s := a.Status(); return s.Peers[0].Start == 2 && s.Hears == "whole" })
+	if _, _, has := a.Get("b", "x"); has {
+		t.Error("what its former life said is still held")
+	}
+}
+
+// kill ends it without a word.
+func (f *Fleet) kill() {
+	f.muted.Store(true)
+	f.mu.Lock()
+	f.refused = net.ErrClosed
+	f.mu.Unlock()
+	f.Close()
+}
+
+func TestTwin(t *testing.T) {
+	t.Parallel()
+	addrs := []string{free(t), free(t), free(t)}
+	a := open(t, Options{Name: "a", Listen: addrs[0]})
+	b := open(t, Options{Name: "b", Listen: addrs[1], Seeds: addrs[:1]})
+	wait(t, "whole", hears(a, hearing.Whole, 2))
+	wait(t, "whole", hears(b, hearing.Whole, 2))
+	twin := open(t, Options{Name: "b", Listen: addrs[2], Seeds: addrs[:1]})
+	wait(t, "the second b gives way", func() bool { return strings.Contains(twin.Status().Refused, "the name b is") })
+	wait(t, "both are named", func() bool { return len(a.Status().Twins)+len(b.Status().Twins) > 0 })
+	if s := b.Status(); s.Refused != "" || s.Hears != "whole" {
+		t.Errorf("the first b: %+v", s)
+	}
+	if _, err := Start(Options{Name: "c", Listen: addrs[0], Log: quiet()}); err == nil || !strings.Contains(err.Error(), addrs[0]) {
+		t.Errorf("an address that is taken: %v", err)
+	}
+}
+
+func TestSocketAndGone(t *testing.T) {
+	t.Parallel()
+	addrs := []string{free(t), free(t)}
+	a := open(t, Options{Name: "a", Listen: addrs[0]})
+	b := open(t, Options{Name: "b", Listen: addrs[1], Seeds: addrs})
+	path := filepath.Join(t.TempDir(), "a.sock")
+	s, err := a.ServeSocket(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := b.ServeSocket(path); err == nil {
+		t.Error("a second server takes the socket")
+	}
+	wait(t, "whole", hears(a, hearing.Whole, 2))
+	ctx := context.Background()
+	if err := Declare(ctx, path, "name=b&who=me"); err == nil || !strings.Contains(err.Error(), "is heard") {
+		t.Errorf("who is heard is declared gone: %v", err)
+	}
+	b.kill()
+	wait(t, "b silent, on the roster", func() bool {
+		st, err := Ask(ctx, path)
+		return err == nil && st.Heard == 1 && st.Roster == 2 && st.Peers[0].Losses+int(st.Lost) > 0
+	})
+	if err := Declare(ctx, path, "name=b&who=me&why=scrapped"); err != nil {
+		t.Fatal(err)
+	}
+	if st, _ := Ask(ctx, path); st.Roster != 1 || st.Peers[0].Away != "declared gone" {
+		t.Errorf("%+v", st)
+	}
+	// More readers than there are places, none of which reads on: the rest hear no at once, and all end.
+	for range 3 * mostReaders {
+		c, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	if _, err := Ask(ctx, path); err != nil {
+		t.Errorf("slow readers keep others out: %v", err)
+	}
+}
+
+// Garbage, damaged and replayed packets, and a flood, change nothing and are dropped.
+func TestHostilePackets(t *testing.T) {
+	t.Parallel()
+	addrs := []string{free(t), free(t)}
+	a := open(t, Options{Name: "a", Listen: addrs[0]})
+	b := open(t, Options{Name: "b", Listen: addrs[1], Seeds: addrs})
+	wait(t, "whole", hears(a, hearing.Whole, 2))
+	b.Say("x", []byte("first"))
+	var old []byte
+	wait(t, "the record", func() bool {
+		r, _, has := a.Get("b", "x")
+		old = r.Append(nil)
+		return has
+	})
+	b.Say("x", []byte("second"))
+	wait(t, "the next record", func() bool { r, _, _ := a.Get("b", "x"); return string(r.Body) == "second" })
+	c, err := net.Dial("udp", addrs[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	user := func(raw []byte) []byte { return append([]byte{8, 1, 'b'}, raw...) } // memberlist's user message
+	c.Write(user(old))
+	c.Write(user(old[:len(old)-3]))
+	wait(t, "replayed and damaged ones are counted", func() bool { n := a.Status().Records; return n.Old > 0 && n.Damaged > 0 })
+	for i := range 20000 {
+		c.Write([]byte(strings.Repeat(string(rune(i)), 1+i%200)))
+	}
+	wait(t, "the flood is dropped", func() bool { return a.Status().Traffic.Dropped > 1000 })
+	if r, _, _ := a.Get("b", "x"); string(r.Body) != "second" {
+		t.Errorf("the record is %q", r.Body)
+	}
+	if v := a.View(); v.Heard != 2 || v.Roster != 2 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// drained is the library's mock, which blocks whoever writes to a peer that has ended, but for that.
+type drained struct {
+	*memberlist.MockTransport
+	over chan struct{}
+}
+
+func (d *drained) Shutdown() error {
+	go func() {
+		for {
+			select {
+			case <-d.PacketCh():
+			case c := <-d.StreamCh():
+				c.Close()
+			case <-d.over:
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+// A roster of many in one process, over memberlist's mock network.
+func TestMany(t *testing.T) {
+	t.Parallel()
+	n := 60
+	network := &memberlist.MockNetwork{}
+	over := make(chan struct{})
+	var fleet []*Fleet
+	mocks, addrs := make([]*memberlist.MockTransport, n), make([]string, n)
+	for i := range mocks { // all of them first: the network's table has no lock
+		mocks[i] = network.NewTransport(fmt.Sprintf("n%03d", i)) // by which name it is found
+		ip, port, _ := mocks[i].FinalAdvertiseAddr("", 0)
+		addrs[i] = net.JoinHostPort(ip.String(), fmt.Sprint(port))
+	}
+	for i, mock := range mocks {
+		name := fmt.Sprintf("n%03d", i)
+		f, err := Start(Options{Log: quiet(), Name: name, Zone: fmt.Sprint("z", i%3), Listen: addrs[i], Seeds: addrs[:1], lower: func() (lower, error) { return &drained{mock, over}, nil }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet = append(fleet, f)
+	}
+	defer func() {
+		var ends sync.WaitGroup
+		for _, f := range fleet {
+			ends.Go(f.kill)
+		}
+		ends.Wait()
+		close(over)
+	}()
+	for _, f := range fleet {
+		wait(t, f.o.Name+" hears all", hears(f, hearing.Whole, n))
+	}
+	if z := fleet[n-1].View().Zones; len(z) != 3 || z[0].Heard != n/3 {
+		t.Errorf("zones %v", z)
+	}
+}
--- /dev/null
+++ b/internal/fleet/status.go
@@ -0,0 +1,219 @@
+package fleet
+
+// This file owns what a server tells operators and tests: its view of the fleet, over HTTP on a Unix socket, if the
+// operator's record names one. It must never wait for a slow reader, nor tell of any RPC.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"sorrelvalve/choose/hearing"
+	"sorrelvalve/choose/spread"
+)
+
+// Status is one server's view. Times are ms; ages count from when this server heard.
+type Status struct {
+	Name, Zone, Version, Settings string
+	Start                         uint64
+	Life                          string // hex
+	Phase                         string
+	Ramp                          float64
+	Hears                         string // alone, part or whole
+	Listening                     bool
+	ForMs                         float64
+	Roster, Heard                 int
+	AtLeast, AtMost               int
+	Zones                         []hearing.Zone
+	Peers                         []PeerStatus
+	Twins                         []string `json:",omitempty"`
+	Refused                       string   `json:",omitempty"`
+	Stalls                        int      // times that this server found that it had stalled
+	Lost                          uint64   // times that the detector lost a peer
+	Changes                       int      // of Hears
+	Records                       RecordStatus
+	Traffic                       Traffic
+}
+
+// PeerStatus is what is heard of one other.
+type PeerStatus struct {
+	Name, Zone, Version, Settings, Phase string
+	Addr                                 string
+	Start                                uint64
+	Ramp                                 float64
+	Heard, Damped, Twin                  bool
+	Contact, Through                     string
+	AgeMs, ForMs                         float64
+	Losses                               int
+	Away                                 string `json:",omitempty"`
+}
+
+// RecordStatus is the table of records.
+type RecordStatus struct {
+	Origins, Records, Bytes int
+	spread.Counts
+}
+
+// Traffic is counted since the start.
+type Traffic struct {
+	PacketsIn, PacketsOut, BytesIn, BytesOut, Dropped, Streams, Complaints uint64
+}
+
+// Status tells the view as it is now.
+func (f *Fleet) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.ms(f.now())
+	v := f.hear.View(now)
+	phase, ramp := f.o.Phase()
+	s := Status{
+		Name: f.o.Name, Zone: f.o.Zone, Version: f.o.Version, Settings: f.o.Settings, Start: f.self.Start,
+		Life: strconv.FormatUint(f.self.Life, 16), Phase: phase.String(), Ramp: ramp, Hears: v.State.String(),
+		Listening: v.Listening, ForMs: v.For, Roster: v.Roster, Heard: v.Heard, AtLeast: v.AtLeast, AtMost: v.AtMost,
+		Zones: v.Zones, Twins: append([]string(nil), f.twins...), Stalls: v.Stalls, Lost: f.lost, Changes: v.Changes,
+	}
+	if f.refused != nil {
+		s.Refused = f.refused.Error()
+	}
+	for _, p := range f.hear.Peers(now) {
+		x := PeerStatus{
+			Name: clean(p.Name), Zone: clean(p.Zone), Start: p.Start, Heard: p.Heard, Damped: p.Damped, Twin: p.Twin,
+			Contact: p.Contact.String(), Through: clean(p.Through), AgeMs: p.Age, ForMs: p.For, Losses: p.Losses,
+			Away: [...]string{"", "left", "declared gone"}[p.Away],
+		}
+		if r, _, has := f.table.Get(now, p.Name, keyServer); has {
+			if d, ok := parseServer(r.Body); ok {
+				x.Version, x.Settings, x.Phase, x.Ramp, x.Addr = clean(d.Version), clean(d.Settings), d.Phase.String(), d.Ramp, clean(d.Addr)
+			}
+		}
+		s.Peers = append(s.Peers, x)
+	}
+	s.Records.Origins, s.Records.Records, s.Records.Bytes = f.table.Size()
+	s.Records.Counts = f.table.Counts
+	c := &f.count
+	s.Traffic = Traffic{
+		PacketsIn: c.packetsIn.Load(), PacketsOut: c.packetsOut.Load(), BytesIn: c.bytesIn.Load(), BytesOut: c.bytesOut.Load(),
+		Dropped: c.dropped.Load(), Streams: c.streams.Load(), Complaints: f.complaints.Load(),
+	}
+	return s
+}
+
+// The socket's bounds: operators and a watcher or two; a reader that does not take its answer within the time is cut off.
+const (
+	mostReaders = 8
+	readerTime  = 2 * time.Second
+	headBytes   = 8 << 10
+)
+
+// Socket serves operators on a Unix socket.
+type Socket struct {
+	srv  *http.Server
+	path string
+	over chan struct{}
+}
+
+// ServeSocket listens on a path; what a former process left there is taken away, a living one's is not.
+func (f *Fleet) ServeSocket(path string) (*Socket, error) {
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("fleet: %s: a process serves there", path)
+	} else if info, err := os.Lstat(path); err == nil && info.Mode()&os.ModeSocket != 0 {
+		os.Remove(path)
+	}
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		ln.Close()
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	places := make(chan struct{}, mostReaders)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
+		var b bytes.Buffer // whole before it is sent: no lock is held for a slow reader
+		e := json.NewEncoder(&b)
+		e.SetIndent("", " ")
+		e.Encode(f.Status())
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(b.Bytes())
+	})
+	mux.HandleFunc("POST /v1/gone", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		if q.Get("who") == "" || q.Get("name") == "" {
+			http.Error(w, "name and who expected", http.StatusBadRequest)
+		} else if err := f.Gone(q.Get("name"), q.Get("who"), q.Get("why")); err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+		}
+	})
+	s := &Socket{path: path, over: make(chan struct{}), srv: &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case places <- struct{}{}:
+				defer func() { <-places }()
+				mux.ServeHTTP(w, r)
+			default:
+				http.Error(w, "too many readers", http.StatusServiceUnavailable)
+			}
+		}),
+		ReadTimeout: readerTime, WriteTimeout: readerTime, IdleTimeout: readerTime, MaxHeaderBytes: headBytes,
+	}}
+	go func() {
+		defer close(s.over)
+		s.srv.Serve(ln)
+	}()
+	return s, nil
+}
+
+// Close ends it at once.
+func (s *Socket) Close() {
+	s.srv.Close()
+	<-s.over
+}
+
+// ask does one exchange with a server's socket.
+func ask(ctx context.Context, path, verb, target string) ([]byte, error) {
+	client := http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "unix", path)
+		},
+	}}
+	r, err := http.NewRequestWithContext(ctx, verb, "http://fleet"+target, nil)
+	if err != nil {
+		return nil, err
+	}
+	a, err := client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(a.Body, 16<<20))
+	if err == nil && a.StatusCode != http.StatusOK {
+		err = errors.New(string(bytes.TrimSpace(b)))
+	}
+	return b, err
+}
+
+// Ask reads the status of the server whose socket is at path.
+func Ask(ctx context.Context, path string) (s Status, err error) {
+	b, err := ask(ctx, path, http.MethodGet, "/v1/status")
+	if err == nil {
+		err = json.Unmarshal(b, &s)
+	}
+	return s, err
+}
+
+// Declare tells the server at path that a name is gone.
+func Declare(ctx context.Context, path, query string) error {
+	_, err := ask(ctx, path, http.MethodPost, "/v1/gone?"+query)
+	return err
+}
--- /dev/null
+++ b/internal/fleet/transport.go
@@ -0,0 +1,232 @@
+package fleet
+
+// This file owns the way of packets and streams between memberlist and the network: outgoing ones leave from the server's
+// own address, incoming ones are bounded for each source and in all, and once the server has stalled nothing passes in
+// either direction until the detector begins anew. It must never look into a packet.
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"golang.org/x/time/rate"
+)
+
+// What one source, and all of them, may send. A server of a fleet of 300 gets some 20 packets a second in all, in bursts
+// of a few tens after a fault; from one source rarely more than 5. What is over is dropped unread, as the network may.
+const (
+	sourceRate, sourceBurst = 50, 200
+	allRate, allBurst       = 1000, 2000
+	mostSources             = 1024
+	mostStreams             = 32
+)
+
+// lower is the transport that carries it all: memberlist's own on sockets, its mock in tests.
+type lower interface {
+	memberlist.NodeAwareTransport
+}
+
+// traffic is counted by all transports that a fleet has in its life.
+type traffic struct {
+	packetsIn, packetsOut, bytesIn, bytesOut, dropped, streams atomic.Uint64
+}
+
+type transport struct {
+	lower
+	from    *net.TCPAddr // of outgoing streams; nil: the lower one dials
+	word    func(from string)
+	awake   func() bool // false: the server has stalled
+	count   *traffic
+	packets chan *memberlist.Packet
+	conns   chan net.Conn
+	ctx     context.Context // until it is shut down
+	end     context.CancelFunc
+	wg      sync.WaitGroup
+	open    atomic.Int64
+}
+
+// newTransport wraps a transport. word hears where each packet came from; awake tells whether traffic may pass.
+func newTransport(l lower, from *net.TCPAddr, word func(string), awake func() bool, count *traffic) *transport {
+	t := &transport{
+		lower: l, from: from, word: word, awake: awake, count: count,
+		packets: make(chan *memberlist.Packet), conns: make(chan net.Conn),
+	}
+	t.ctx, t.end = context.WithCancel(context.Background())
+	t.wg.Add(2)
+	go t.takePackets()
+	go t.takeStreams()
+	return t
+}
+
+func (t *transport) takePackets() {
+	defer t.wg.Done()
+	all := rate.NewLimiter(allRate, allBurst)
+	sources := map[string]*rate.Limiter{}
+	for {
+		var p *memberlist.Packet
+		select {
+		case p = <-t.lower.PacketCh():
+		case <-t.ctx.Done():
+			return
+		}
+		from := p.From.String()
+		l := sources[from]
+		if l == nil {
+			if len(sources) >= mostSources { // a source that floods under many names meets the limit over all
+				clear(sources)
+			}
+			l = rate.NewLimiter(sourceRate, sourceBurst)
+			sources[from] = l
+		}
+		if !l.AllowN(p.Timestamp, 1) || !all.AllowN(p.Timestamp, 1) || !t.awake() {
+			t.count.dropped.Add(1)
+			continue
+		}
+		t.count.packetsIn.Add(1)
+		t.count.bytesIn.Add(uint64(len(p.Buf)))
+		t.word(from)
+		select {
+		case t.packets <- p:
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *transport) takeStreams() {
+	defer t.wg.Done()
+	for {
+		var c net.Conn
+		select {
+		case c = <-t.lower.StreamCh():
+		case <-t.ctx.Done():
+			return
+		}
+		if t.open.Load() >= mostStreams || !t.awake() {
+			t.count.dropped.Add(1)
+			c.Close()
+			continue
+		}
+		t.open.Add(1)
+		t.count.streams.Add(1)
+		select {
+		case t.conns <- newStream(t, c, true):
+		case <-t.ctx.Done():
+			c.Close()
+			return
+		}
+	}
+}
+
+// PacketCh and StreamCh are what memberlist reads from.
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
+func (t *transport) StreamCh() <-chan net.Conn           { return t.conns }
+
+// WriteTo and WriteToAddress send a packet, unless the server has stalled: then it is lost, as packets may be.
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	return t.WriteToAddress(b, memberlist.Address{Addr: addr})
+}
+
+func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	if !t.awake() {
+		t.count.dropped.Add(1)
+		return time.Now(), nil
+	}
+	t.count.packetsOut.Add(1)
+	t.count.bytesOut.Add(uint64(len(b)))
+	return t.lower.WriteToAddress(b, a)
+}
+
+// DialTimeout and DialAddressTimeout open a stream from the server's own address.
+func (t *transport) DialTimeout(addr string, d time.Duration) (net.Conn, error) {
+	return t.DialAddressTimeout(memberlist.Address{Addr: addr}, d)
+}
+
+func (t *transport) DialAddressTimeout(a memberlist.Address, d time.Duration) (net.Conn, error) {
+	if !t.awake() {
+		return nil, fmt.Errorf("dial %s: this server has stalled and listens first", a.Addr)
+	}
+	var c net.Conn
+	var err error
+	if t.from != nil {
+		dialer := net.Dialer{Timeout: d, LocalAddr: t.from}
+		c, err = dialer.DialContext(t.ctx, "tcp", a.Addr)
+	} else {
+		c, err = t.lower.DialAddressTimeout(a, d)
+	}
+	if err != nil {
+		return nil, err
+	}
+	t.count.streams.Add(1)
+	return newStream(t, c, false), nil
+}
+
+// Shutdown ends it and what carries it.
+func (t *transport) Shutdown() error {
+	t.end()
+	over := make(chan struct{})
+	t.wg.Add(1)
+	go func() { // the lower one waits for its readers, which may be handing something over
+		defer t.wg.Done()
+		for {
+			select {
+			case <-t.lower.PacketCh():
+			case c := <-t.lower.StreamCh():
+				c.Close()
+			case <-over:
+				return
+			}
+		}
+	}()
+	err := t.lower.Shutdown()
+	close(over)
+	t.wg.Wait()
+	return err
+}
+
+// stream counts what passes, and stops with the server and with the transport.
+type stream struct {
+	net.Conn
+	t    *transport
+	in   bool
+	free func() bool
+	shut atomic.Bool
+}
+
+func newStream(t *transport, c net.Conn, in bool) *stream {
+	return &stream{Conn: c, t: t, in: in, free: context.AfterFunc(t.ctx, func() { c.Close() })}
+}
+
+func (s *stream) Read(b []byte) (int, error) {
+	n, err := s.Conn.Read(b)
+	s.t.count.bytesIn.Add(uint64(n))
+	if !s.t.awake() {
+		s.Conn.Close()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (s *stream) Write(b []byte) (int, error) {
+	if !s.t.awake() {
+		s.Conn.Close()
+		return 0, net.ErrClosed
+	}
+	n, err := s.Conn.Write(b)
+	s.t.count.bytesOut.Add(uint64(n))
+	return n, err
+}
+
+func (s *stream) Close() error {
+	if s.shut.CompareAndSwap(false, true) {
+		s.free()
+		if s.in {
+			s.t.open.Add(-1)
+		}
+	}
+	return s.Conn.Close()
+}
