valvefleet serve: the daemon with a part in a fleet; status, gone; one putting together for all

Need: servers that know one another must not weigh on the daemon that the platform runs, which may not talk to others.

--- a/cmd/sorrelvalve/main.go
+++ b/cmd/sorrelvalve/main.go
@@ -1,30 +1,31 @@
 // Command sorrelvalve is one app server of a fleet: it takes RPCs from routers, lets package control decide on
-// each, has the engine do the work and answers. This package puts the parts together and minds their life from
-// the first log line to the exit; it must never hold anything that a part could own.
+// each, has the engine do the work and answers. This package is the command line; package daemon puts the parts
+// together. It must never hold anything that a part could own.
 package main
 
 import (
 	"fmt"
 	"os"
-	"runtime/debug"
 	"strings"
 
 	"github.com/alecthomas/kong"
 
+	"sorrelvalve/internal/daemon"
 	"sorrelvalve/internal/opening"
 )
 
-// version is set at release builds by -ldflags; else the build's own record tells it.
-var version = ""
-
 type command struct {
-	Serve   serveCmd   `cmd:"" help:"Serve RPCs until SIGTERM or SIGINT, then drain and exit."`
-	Check   checkCmd   `cmd:"" help:"Read the configuration, tell what is wrong with it, and start nothing."`
-	Trace   traceCmd   `cmd:"" help:"Record what the decisions are told and say; show, replay and compare it."`
-	Store   storeCmd   `cmd:"" help:"Look at the folder of a durable store."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Serve   serveCmd        `cmd:"" help:"Serve RPCs until SIGTERM or SIGINT, then drain and exit."`
+	Check   checkCmd        `cmd:"" help:"Read the configuration, tell what is wrong with it, and start nothing."`
+	Trace   daemon.TraceCmd `cmd:"" help:"Record what the decisions are told and say; show, replay and compare it."`
+	Store   daemon.StoreCmd `cmd:"" help:"Look at the folder of a durable store."`
+	Version versionCmd      `cmd:"" help:"Print the version."`
 }
 
+type serveCmd struct{ daemon.Command }
+
+func (c serveCmd) Run() error { return c.Command.Run(nil) }
+
 type checkCmd struct{}
 
 func (checkCmd) Run() error {
@@ -41,18 +42,10 @@
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
-	fmt.Println("sorrelvalve", buildVersion())
+	fmt.Println("sorrelvalve", daemon.BuildVersion())
 	return nil
 }
 
-func buildVersion() string {
-	v := version
-	if info, ok := debug.ReadBuildInfo(); ok && v == "" {
-		v = info.Main.Version
-	}
-	return v
-}
-
 func main() {
 	ctx := kong.Parse(&command{},
 		kong.Name("sorrelvalve"),
--- /dev/null
+++ b/cmd/valvefleet/main.go
@@ -0,0 +1,103 @@
+// Command valvefleet is the server with a part in a fleet whose servers know one another, and the operators' commands over
+// such a fleet. serve is the daemon of sorrelvalve and more; without fleet in the operator's file it is that daemon. It
+// must never hold anything that a part could own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"os"
+	"os/signal"
+	"os/user"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"sorrelvalve/internal/daemon"
+	"sorrelvalve/internal/fleet"
+)
+
+type command struct {
+	Serve   serveCmd   `cmd:"" help:"Serve RPCs until SIGTERM or SIGINT, as sorrelvalve serve does, with a part in the fleet that the operator's record names."`
+	Status  statusCmd  `cmd:"" help:"Tell what servers hear of their fleet, and where their views differ."`
+	Gone    goneCmd    `cmd:"" help:"Declare that a silent server will not come back, so that it leaves the roster."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type serveCmd struct{ daemon.Command }
+
+func (c serveCmd) Run() error { return c.Command.Run(fleet.Beside) }
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("valvefleet", daemon.BuildVersion())
+	return nil
+}
+
+// askWait bounds each question to a server.
+const askWait = 3 * time.Second
+
+type statusCmd struct {
+	Sockets []string      `arg:"" type:"path" help:"The sockets of one server or several, as fleet.socket names them."`
+	JSON    bool          `help:"As the servers tell it."`
+	Watch   bool          `help:"Again and again until interrupted."`
+	Every   time.Duration `default:"1s" help:"With --watch."`
+}
+
+func (c statusCmd) Run() error {
+	ctx, end := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer end()
+	for {
+		views, failed := fleet.AskAll(ctx, c.Sockets, askWait)
+		if c.JSON {
+			if err := fleet.WriteJSON(os.Stdout, views); err != nil {
+				return err
+			}
+		} else {
+			fleet.WriteViews(os.Stdout, views)
+		}
+		for _, err := range failed {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		if !c.Watch {
+			if len(failed) > 0 {
+				return fmt.Errorf("%d of %d servers did not answer", len(failed), len(c.Sockets))
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(max(c.Every, 100*time.Millisecond)):
+			fmt.Println()
+		}
+	}
+}
+
+type goneCmd struct {
+	Socket string `arg:"" type:"path" help:"Of any server that hears the fleet."`
+	Name   string `arg:"" help:"Of the server that will not come back."`
+	Why    string `required:"" help:"For the others' logs."`
+}
+
+func (c goneCmd) Run() error {
+	who := "unknown"
+	if u, err := user.Current(); err == nil {
+		who = u.Username
+	}
+	ctx, end := context.WithTimeout(context.Background(), askWait)
+	defer end()
+	return fleet.Declare(ctx, c.Socket, url.Values{"name": {c.Name}, "who": {who}, "why": {c.Why}}.Encode())
+}
+
+func main() {
+	ctx := kong.Parse(&command{},
+		kong.Name("valvefleet"),
+		kong.Description("The app server with a part in a fleet, and commands over the fleet.\n\nIt is configured as sorrelvalve is; "+
+			"fleet in the operator's file is what it has beside that."),
+		kong.UsageOnError(),
+	)
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/internal/cuefile/schema.cue
+++ b/internal/cuefile/schema.cue
@@ -38,6 +38,9 @@
 	tolerance_ms: *2000 | number & >=0 & <=3600000
 }
 
+// The server's part in a fleet whose servers know one another; without it there is none. Only valvefleet serve has it.
+fleet?: #Fleet
+
 // The front that accepts uwsgi; without it there is none.
 uwsgi?: #UWSGI
 
@@ -52,6 +55,22 @@
 
 #Address: =~"^(\\[[0-9a-fA-F:.]+\\]|[0-9.]+):[0-9]{1,5}$"
 
+#Fleet: {
+	// Servers with another name do not hear one another.
+	name: *"" | string & =~"^[^\\n]{0,64}$"
+	// Packets and streams; what this server sends leaves from the same IP address.
+	listen: #Address
+	// Where others reach it, if that is another address.
+	advertise?: #Address
+	zone:       *"" | string & =~"^[^\\n]{0,64}$"
+	// Whom to join at the start and for ever after; the own address among them does no harm.
+	seeds: *[] | [...#Address]
+	// A file with the base64 of 16, 24 or 32 bytes, the same on all servers: what they say is encrypted with it.
+	key_file?: string & !=""
+	// A Unix socket on which valvefleet status finds this server.
+	socket?: string & !=""
+}
+
 #UWSGI: {
 	listen: #Address
 	// Whether a connection stays open after an answer: where its block has VALVE_KEEP=1, always or never.
--- a/cmd/sorrelvalve/extras.go
+++ b/internal/daemon/extras.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 // This file owns what an operator's file adds to the server: the front for uwsgi and the pools. Without such a file none
 // of it is made. It must never take a new file in part.
@@ -34,9 +34,9 @@
 }
 
 func newExtras(
-	ctx context.Context, t told, table *front.Table, g *gate.Gate, engine gate.Runner, log *logrus.Entry,
+	ctx context.Context, t Told, table *front.Table, g *gate.Gate, engine gate.Runner, log *logrus.Entry,
 ) (*extras, error) {
-	f := &t.op.File
+	f := &t.Op.File
 	tree, err := operator.Tree(f)
 	if err != nil {
 		return nil, err
@@ -94,11 +94,11 @@
 }
 
 // set takes a new file, whole or not at all, and returns the number of the version that runs.
-func (x *extras) set(next told) (version int, err error) {
-	if next.op == nil {
+func (x *extras) set(next Told) (version int, err error) {
+	if next.Op == nil {
 		return 0, errors.New("operator: the record is gone")
 	}
-	f := &next.op.File
+	f := &next.Op.File
 	tree, err := operator.Tree(f)
 	if err != nil {
 		return 0, err
--- a/cmd/sorrelvalve/log.go
+++ b/internal/daemon/log.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 // This file owns the form of the log and its limit in a flood. It must never hold up who logs.
 
@@ -49,7 +49,8 @@
 	return f.Formatter.Format(e)
 }
 
-func newLog(out io.Writer) *logrus.Logger {
+// NewLog writes lines as the daemon does, floods cut.
+func NewLog(out io.Writer) *logrus.Logger {
 	l := logrus.New()
 	l.SetOutput(out)
 	l.SetFormatter(&limited{
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,191 @@
+// Package daemon puts the parts of a server together and minds their life from the first log line to the exit. It is what
+// the commands that serve have in common, and has a place for what one of them adds; the lab's servers are put together
+// by the same code. It must never hold anything that a part could own, nor know what a part does inside.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/internal/front/mprpc"
+	"sorrelvalve/internal/opening"
+	"sorrelvalve/internal/operator"
+)
+
+const (
+	// heapShare of the memory is the collector's limit; the rest is for stacks, the program itself and the
+	// kernel's buffers that count as ours.
+	heapShare = 0.6
+	// gaugeWait is how long a tick waits for its gauges: many times what the engine takes, a quarter of the
+	// time between two ticks.
+	gaugeWait = 10 * time.Millisecond
+	// spare is left of the time to the stop when the process ends. The decisions answer the last RPCs two to one of
+	// their ticks of 40 ms before the stop, so it lies under one.
+	spare = 20 * time.Millisecond
+	// windup is left of it at the least when nothing more is let in, if the grace is longer.
+	windup = 240 * time.Millisecond
+)
+
+// Command is the sub-command that serves.
+type Command struct {
+	Operator string `type:"path" placeholder:"RECORD" help:"The operator's record, as valvectl compile wrote it; it is taken anew on SIGHUP with the configuration."`
+	Trace    string `type:"path" placeholder:"FILE" hidden:"" help:"Record a trace there, whatever the record says."`
+	StandIn  bool   `help:"Start a stand-in engine, and callers that ask for more than it can do, within this process, to see the main job run."`
+}
+
+// Told is all that a process is told: the platform's configuration and the operator's record, nil if there is none.
+type Told struct {
+	*opening.Process
+	Op *operator.Record
+}
+
+// Run serves until a signal to stop comes. extra, which may be nil, adds what the command at hand has beside the rest.
+func (s Command) Run(extra Extra) error {
+	stop, reread := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(reread, syscall.SIGHUP) // before all else: unheeded, it would end the process
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	load := func() (t Told, err error) {
+		if t.Process, err = opening.Load(os.Getenv); err == nil && s.Operator != "" {
+			t.Op, err = operator.Load(s.Operator, t.Opening)
+		}
+		return t, err
+	}
+	if s.StandIn {
+		own, end, err := standIn()
+		if err != nil {
+			return err
+		}
+		defer end()
+		load = func() (t Told, err error) {
+			if t, err = own(); err == nil && s.Operator != "" {
+				t.Op, err = operator.Load(s.Operator, t.Opening)
+			}
+			return t, err
+		}
+	}
+	if s.Trace != "" {
+		from := load
+		load = func() (Told, error) {
+			t, err := from()
+			if err == nil && t.Op == nil {
+				t.Op = &operator.Record{Hash: strings.Repeat("0", 64), File: operator.File{Version: "none"}}
+			}
+			if err == nil {
+				t.Op.File.Trace = &operator.Trace{Path: s.Trace, FileMB: 64, Files: 4}
+			}
+			return t, err
+		}
+	}
+	t, err := load()
+	if err != nil {
+		return err
+	}
+	return serve(t, NewLog(os.Stderr).WithField("node", t.Name), stop, reread, load, extra)
+}
+
+// serve runs one server until a signal to stop comes, and drains it. On each value of reread, the drain
+// included, it takes from load what can change in a running process.
+func serve(t Told, log *logrus.Entry, stop, reread <-chan os.Signal, load func() (Told, error), extra Extra) error {
+	p := t.Process
+	runtime.GOMAXPROCS(int(math.Ceil(p.Cores)))
+	debug.SetMemoryLimit(int64(heapShare * float64(p.MemoryMB) * (1 << 20)))
+	if absent := mprpc.Absent(p.Opening); len(absent) > 0 {
+		log.WithField("absent", strings.Join(absent, ", ")).Warn("server: not carried by this protocol")
+	}
+	ln, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	x, err := New(t, ln, log, extra)
+	if err != nil {
+		ln.Close()
+		return err
+	}
+	defer x.Close()
+	var latest atomic.Pointer[Told]
+	latest.Store(&t)
+	go func() {
+		for {
+			select {
+			case <-x.ctx.Done():
+				return
+			case <-reread:
+			}
+			next, err := load()
+			number := 0
+			if err == nil {
+				number, err = x.set(next)
+			}
+			if err != nil {
+				log.WithError(err).Error("reload: the configuration is wrong, the old one stays")
+				continue
+			}
+			if stays := p.Stays(next.Process); len(stays) > 0 {
+				log.WithField("keys", brief(stays)).Warn("reload: keys that only a new start can change")
+			}
+			latest.Store(&next)
+			x.link.Move(next.Engine)
+			x.report.Move(x.ctx, next.Members)
+			done := log.WithFields(logrus.Fields{"engine": next.Engine, "members": next.Members})
+			if next.Op != nil {
+				done = done.WithFields(logrus.Fields{"version": next.Op.File.Version, "hash": next.Op.Hash[:12], "number": number})
+			}
+			done.Info("reload: done")
+		}
+	}()
+	begins := log.WithField("listen", p.Listen)
+	if t.Op != nil {
+		begins = begins.WithFields(logrus.Fields{"version": t.Op.File.Version, "hash": t.Op.Hash[:12]})
+	}
+	begins.Info("serve: begins")
+	if kept := x.kept; kept != nil {
+		select {
+		case <-stop:
+		case <-kept.ready:
+			if kept.err != nil {
+				x.table.Finish(x.ctx)
+				return fmt.Errorf("store: %w", kept.err)
+			}
+			<-stop
+		}
+	} else {
+		<-stop
+	}
+	x.drain(latest.Load().Process)
+	return nil
+}
+
+// brief names the first few of many keys.
+func brief(keys []string) string {
+	const most = 8 // as many as fit a line
+	if len(keys) > most {
+		return fmt.Sprintf("%s and %d more", strings.Join(keys[:most], ", "), len(keys)-most)
+	}
+	return strings.Join(keys, ", ")
+}
+
+// drain goes on as before for the grace, then lets nothing more in and waits for what is in hand.
+func (x *Server) drain(p *opening.Process) {
+	began := time.Now()
+	x.phase.draining.Store(true)
+	x.Gate.Drain(p.Stop)
+	x.log.WithField("ms", p.Stop.Milliseconds()).Info("drain: begins")
+	grace := time.Duration(p.Opening.Rules.DrainGrace * float64(time.Millisecond))
+	time.Sleep(max(0, min(grace, p.Stop-windup)))
+	ctx, end := context.WithDeadline(context.Background(), began.Add(p.Stop-spare))
+	defer end()
+	x.table.Finish(ctx)
+	x.log.WithField("ms", time.Since(began).Milliseconds()).WithField("in_hand", x.Gate.InHand()).Info("drain: over")
+}
--- a/cmd/sorrelvalve/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"bufio"
@@ -134,12 +134,12 @@
 	if err := os.WriteFile(w.file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	load := func() (told, error) {
+	load := func() (Told, error) {
 		defer func() { w.loaded <- struct{}{} }()
 		p, err := opening.Load(func(key string) string { return map[string]string{"EDGE_CONFIG": w.file}[key] })
-		t := told{Process: p}
+		t := Told{Process: p}
 		if err == nil && w.record != "" {
-			t.op, err = operator.Load(w.record, p.Opening)
+			t.Op, err = operator.Load(w.record, p.Opening)
 		}
 		return t, err
 	}
@@ -151,7 +151,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { w.over <- serve(p, newLog(&w.lines).WithField("node", p.Name), w.stop, w.reread, load) }()
+	go func() { w.over <- serve(p, NewLog(&w.lines).WithField("node", p.Name), w.stop, w.reread, load, nil) }()
 	w.reported("first UP") // which tells that it is up and started
 	if w.conn, err = net.Dial("tcp", addr); err != nil {
 		t.Fatal(err)
@@ -418,7 +418,7 @@
 // A flood of one line is cut, and the next one that is written counts what was dropped.
 func TestLogFlood(t *testing.T) {
 	var out bytes.Buffer
-	log := newLog(&out)
+	log := NewLog(&out)
 	at := time.Now()
 	for i := range 1000 {
 		log.WithTime(at).WithField("i", i).Warn("flood")
--- /dev/null
+++ b/internal/daemon/server.go
@@ -0,0 +1,237 @@
+package daemon
+
+// This file owns how the parts of one server are put together, and their end. It must never decide in what order anything
+// happens to an RPC.
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sorrelvalve/internal/back/engine"
+	"sorrelvalve/internal/back/pools"
+	"sorrelvalve/internal/front"
+	"sorrelvalve/internal/front/mprpc"
+	"sorrelvalve/internal/gate"
+	"sorrelvalve/internal/members"
+	"sorrelvalve/internal/store"
+	"sorrelvalve/internal/trace"
+)
+
+// Server is one, put together and serving.
+type Server struct {
+	Gate *gate.Gate
+
+	ctx    context.Context
+	ends   []func() // the last first
+	log    *logrus.Entry
+	table  *front.Table
+	link   *engine.Link
+	report *members.Reporter
+	more   *extras // nil without an operator's file
+	kept   *opened // nil without a store
+	added  Added   // nil if the command adds nothing
+	phase  phase
+}
+
+// Extra is what a command adds to the daemon. It is called once the other parts stand, before RPCs are let in.
+type Extra func(p Parts) (Added, error)
+
+// Parts are what an Extra is given.
+type Parts struct {
+	Told  Told
+	Log   *logrus.Entry
+	Build string
+	Phase func() (ramp float64, draining bool) // ramp is the share of it that is over, 1 when warm; 0 before an engine answers
+}
+
+// Added is what an Extra put beside the other parts.
+type Added interface {
+	Close() // in bounded time, once all is answered
+}
+
+// phase is where the server is in its life.
+type phase struct {
+	ramp     float64 // ms
+	began    atomic.Pointer[time.Time]
+	draining atomic.Bool
+}
+
+// starts notes how the decisions began.
+func (p *phase) starts(cold bool, ago time.Duration) {
+	at := time.Now().Add(-ago)
+	if !cold {
+		at = time.Time{}
+	}
+	p.began.CompareAndSwap(nil, &at)
+}
+
+func (p *phase) now() (ramp float64, draining bool) {
+	at := p.began.Load()
+	switch {
+	case at == nil:
+	case at.IsZero() || p.ramp <= 0:
+		ramp = 1
+	default:
+		ramp = min(max(float64(time.Since(*at))/1e6/p.ramp, 0), 1)
+	}
+	return ramp, p.draining.Load()
+}
+
+// New puts a server together, which accepts on ln and has its work done by what it is told. Tokens are kept as the
+// operator's file says. ln stays the caller's if there is an error.
+func New(t Told, ln net.Listener, log *logrus.Entry, extra Extra) (x *Server, err error) {
+	return assemble(t, ln, log, extra, nil)
+}
+
+// NewKept is New with tokens kept by k, which its caller opened, if that is not nil.
+func NewKept(t Told, ln net.Listener, log *logrus.Entry, k gate.Keeper) (*Server, error) {
+	return assemble(t, ln, log, nil, k)
+}
+
+func assemble(t Told, ln net.Listener, log *logrus.Entry, extra Extra, keeper gate.Keeper) (x *Server, err error) {
+	p, settings, sockets := t.Process, *t.Opening, t.Sockets
+	if t.Op != nil {
+		t.Op.File.Apply(&settings)
+		if sockets -= t.Op.File.Descriptors(); sockets < leastSockets {
+			return nil, fmt.Errorf("operator: the file's parts may take %d descriptors of limits.sockets, %d", t.Op.File.Descriptors(), p.Sockets)
+		}
+		if t.Op.File.Fleet != nil && extra == nil {
+			return nil, fmt.Errorf("operator: fleet: this command serves without one; valvefleet serve takes the same configuration")
+		}
+	}
+	x = &Server{log: log}
+	x.phase.ramp = settings.Node.WarmBy
+	ctx, end := context.WithCancel(context.Background())
+	x.ctx = ctx
+	defer func() {
+		if err != nil {
+			x.Close()
+		}
+	}()
+	x.ends = append(x.ends, end)
+	g := gate.New(&settings, p.MemoryMB, func(text, detail string) {
+		if detail == "" {
+			log.Info(text)
+		} else {
+			log.WithField("detail", detail).Error(text)
+		}
+	})
+	x.Gate = g
+	if keeper != nil {
+		g.Keep(keeper)
+	}
+	if t.Op != nil && t.Op.File.Trace != nil {
+		rec := trace.NewRecorder(t.Op.File.Trace.Path, TraceBounds(t.Op.File.Trace), BuildVersion(), func(err error) {
+			log.WithError(err).Error("trace: not recorded")
+		})
+		x.ends = append(x.ends, func() { rec.Close() })
+		g.Trace(rec)
+	}
+	begun := g.Start
+	if t.Op != nil && t.Op.File.Store != nil { // until it has been read, the server listens and pushes back
+		kept := openStore(t.Op.File.Store, &settings, p.Name, log)
+		x.kept = kept
+		x.ends = append(x.ends, kept.close, func() { kept.tell(log) }) // as it stood at the end
+		go kept.tells(ctx, log)
+		begun = func(cold bool, ago time.Duration) {
+			since := time.Now()
+			if <-kept.ready; kept.err == nil {
+				if !g.Started() {
+					g.Keep(store.Keeper{Store: kept.s})
+				}
+				g.Start(cold, ago+time.Since(since))
+			}
+		}
+	}
+	link := engine.New(p.Engine, log, func(cold bool, ago time.Duration) {
+		x.phase.starts(cold, ago)
+		begun(cold, ago)
+	})
+	x.link = link
+	x.table = front.NewTable(sockets, g.Idle, log)
+	run := link.Runner()
+	if t.Op != nil {
+		if x.more, err = newExtras(ctx, t, x.table, g, run, log); err != nil {
+			return nil, err
+		}
+		run = x.more.run
+	}
+	if extra != nil {
+		if x.added, err = extra(Parts{Told: t, Log: log, Build: BuildVersion(), Phase: x.phase.now}); err != nil {
+			return nil, err
+		}
+		if x.added != nil {
+			x.ends = append(x.ends, x.added.Close)
+		}
+	}
+	srv := mprpc.New(x.table, g, run, log)
+	up := func() (up, known bool) { return g.Good(), g.Started() }
+	go link.Serve(ctx)
+	if p.Members != "" {
+		x.report = members.New(p.Members, p.Name, log, up, g.Changed())
+		go x.report.Serve(ctx)
+	}
+	go tick(ctx, g, link)
+	x.table.Listen(ln.(*net.TCPListener), srv.Open)
+	if x.more != nil {
+		x.more.listen(x.table)
+	}
+	return x, nil
+}
+
+// Close ends all parts. What is in hand is not waited for: Finish does that.
+func (x *Server) Close() {
+	for i := len(x.ends) - 1; i >= 0; i-- {
+		x.ends[i]()
+	}
+	x.ends = nil
+}
+
+// Finish lets nothing more in and waits for what is in hand until ctx ends.
+func (x *Server) Finish(ctx context.Context) { x.table.Finish(ctx) }
+
+// Pools are those of the operator's file; nil without one.
+func (x *Server) Pools() *pools.Backs {
+	if x.more == nil {
+		return nil
+	}
+	return x.more.pools
+}
+
+// Web is where the front for uwsgi listens; "" without one.
+func (x *Server) Web() string {
+	if x.more == nil || x.more.ln == nil {
+		return ""
+	}
+	return x.more.ln.Addr().String()
+}
+
+// set takes a new operator's file, whole or not at all, and returns the number of the version that runs.
+func (x *Server) set(next Told) (int, error) {
+	if x.more == nil {
+		return 0, nil
+	}
+	return x.more.set(next)
+}
+
+// leastSockets are left for the fronts beside what the operator's file may take: with the platform's least, 48, a
+// dozen connections.
+const leastSockets = 40
+
+// tick moves the clock of the decisions, with fresh gauges if the engine gives them in time.
+func tick(ctx context.Context, g *gate.Gate, link *engine.Link) {
+	wait := time.NewTimer(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+		}
+		wait.Reset(g.Tick(link.Gauges(gaugeWait)))
+	}
+}
--- a/cmd/sorrelvalve/standin.go
+++ b/internal/daemon/standin.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 // This file owns the demonstration: a stand-in engine and callers beside the server, in one process, so that the main
 // job can be seen with nothing else at hand. It must never be part of a server that others use.
@@ -29,7 +29,7 @@
 const demoRate, demoWork = 130.0, 40.0
 
 // standIn starts the stand-ins and returns where the server gets its configuration from, and what ends them.
-func standIn() (load func() (told, error), end func(), err error) {
+func standIn() (load func() (Told, error), end func(), err error) {
 	cores := stand.NewCores(4, 8)
 	rules := stand.NewRules("topup-buy")
 	engine, err := stand.NewEngine(cores, stand.ByBody, rules)
@@ -62,11 +62,11 @@
 		close()
 		os.Remove(file.Name())
 	}
-	return func() (told, error) {
+	return func() (Told, error) {
 		p, err := opening.Load(func(key string) string {
 			return map[string]string{"EDGE_CONFIG": file.Name()}[key]
 		})
-		return told{Process: p}, err
+		return Told{Process: p}, err
 	}, end, nil
 }
 
--- a/cmd/sorrelvalve/store.go
+++ b/internal/daemon/store.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 // This file owns the durable store of the daemon: opening it beside the start, and the commands over its folder. It must
 // never let an RPC in before recovery is over.
@@ -99,7 +99,8 @@
 	}
 }
 
-type storeCmd struct {
+// StoreCmd are the commands over the folder of a store.
+type StoreCmd struct {
 	Inspect inspectCmd `cmd:"" help:"Tell what stands in a store's folder."`
 	Verify  verifyCmd  `cmd:"" help:"Read every record of it; the exit code tells whether all is sound."`
 	Compact compactCmd `cmd:"" help:"Remove segments of which all windows are over, while no server uses the folder."`
--- a/cmd/sorrelvalve/trace.go
+++ b/internal/daemon/trace.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 // This file owns the commands over traces: they print what package replay finds. They must never write to a trace.
 
@@ -16,25 +16,22 @@
 	"sorrelvalve/internal/trace"
 )
 
-type traceCmd struct {
+// TraceCmd are the commands over traces.
+type TraceCmd struct {
 	Record recordCmd `cmd:"" help:"Serve, and record a trace."`
 	Show   showCmd   `cmd:"" help:"Print what a trace holds, an event a line."`
 	Replay replayCmd `cmd:"" help:"Run this build's decisions over a trace: the same verdicts, or where they part."`
 	Diff   diffCmd   `cmd:"" help:"What other settings would have done with the same arrivals."`
 }
 
-func traceBounds(t *operator.Trace) trace.Bounds {
-	return trace.Bounds{FileBytes: int64(t.FileMB * (1 << 20)), Files: t.Files}
-}
-
 type recordCmd struct {
 	File string `arg:"" type:"path" help:"The trace; older parts of it become FILE.1 and so on."`
-	serveCmd
+	Command
 }
 
 func (c recordCmd) Run() error {
-	c.serveCmd.Trace = c.File
-	return c.serveCmd.Run()
+	c.Trace = c.File
+	return c.Command.Run(nil)
 }
 
 type showCmd struct {
--- a/cmd/sorrelvalve/trace_test.go
+++ b/internal/daemon/trace_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"errors"
--- /dev/null
+++ b/internal/fleet/extra.go
@@ -0,0 +1,74 @@
+package fleet
+
+// This file owns how a server's part in a fleet is put beside the daemon's other parts. It must never hold up a start or a
+// stop of the server: a fleet that can't be reached is a fleet of which nothing is heard.
+
+import (
+	"encoding/base64"
+	"fmt"
+	"os"
+	"strings"
+
+	"sorrelvalve/internal/daemon"
+)
+
+// part is a fleet beside a daemon.
+type part struct {
+	f *Fleet
+	s *Socket
+}
+
+// Close ends it.
+func (p *part) Close() {
+	if p.s != nil {
+		p.s.Close()
+	}
+	p.f.Close()
+}
+
+// Beside starts a server's part in the fleet of its operator's file, if that has one. It is a daemon.Extra.
+func Beside(p daemon.Parts) (daemon.Added, error) {
+	if p.Told.Op == nil || p.Told.Op.File.Fleet == nil {
+		return nil, nil
+	}
+	x := p.Told.Op.File.Fleet
+	o := Options{
+		Name: p.Told.Name, Zone: x.Zone, Listen: x.Listen, Advertise: x.Advertise, Fleet: x.Name, Seeds: x.Seeds,
+		Version: p.Build, Settings: p.Told.Op.Hash[:min(12, len(p.Told.Op.Hash))], Log: p.Log,
+		Phase: func() (Phase, float64) {
+			ramp, draining := p.Phase()
+			switch {
+			case draining:
+				return Draining, ramp
+			case ramp < 1:
+				return Cold, ramp
+			}
+			return Warm, 1
+		},
+	}
+	if x.KeyFile != "" {
+		b, err := os.ReadFile(x.KeyFile)
+		if err != nil {
+			return nil, fmt.Errorf("operator: fleet.key_file: %w", err)
+		}
+		if o.Key, err = base64.StdEncoding.DecodeString(strings.TrimSpace(string(b))); err == nil {
+			err = CheckKey(o.Key)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("operator: fleet.key_file: %s: base64 of 16, 24 or 32 bytes expected: %w", x.KeyFile, err)
+		}
+	}
+	f, err := Start(o)
+	if err != nil {
+		return nil, err
+	}
+	y := &part{f: f}
+	if x.Socket != "" {
+		if y.s, err = f.ServeSocket(x.Socket); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	p.Log.WithField("fleet", x.Listen).Info("fleet: begins")
+	return y, nil
+}
--- /dev/null
+++ b/internal/fleet/views.go
@@ -0,0 +1,161 @@
+package fleet
+
+// This file owns what several servers' views look like side by side, and where they differ. It must never call a view
+// wrong: two that differ are both told.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+)
+
+// AskAll asks several servers at once; the errors of those that did not answer in time name their sockets.
+func AskAll(ctx context.Context, sockets []string, wait time.Duration) (views []Status, failed []error) {
+	ctx, end := context.WithTimeout(ctx, wait)
+	defer end()
+	all, errs := make([]Status, len(sockets)), make([]error, len(sockets))
+	var asked sync.WaitGroup
+	for i, path := range sockets {
+		asked.Go(func() { all[i], errs[i] = Ask(ctx, path) })
+	}
+	asked.Wait()
+	for i, err := range errs {
+		if err != nil {
+			failed = append(failed, fmt.Errorf("%s: %w", sockets[i], err))
+		} else {
+			views = append(views, all[i])
+		}
+	}
+	return views, failed
+}
+
+// WriteJSON writes views, one a line.
+func WriteJSON(w io.Writer, views []Status) error {
+	e := json.NewEncoder(w)
+	for i := range views {
+		if err := e.Encode(&views[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteViews writes a table of who hears whom, what is known of each name, and where the views differ.
+func WriteViews(out io.Writer, views []Status) {
+	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "server\tzone\tstart\tphase\thears\theard of roster\tby zone\tfor\tstalls\tnotes")
+	for _, v := range views {
+		zones := make([]string, len(v.Zones))
+		for i, z := range v.Zones {
+			zones[i] = fmt.Sprintf("%s %d/%d", or(z.Name, "-"), z.Heard, z.Roster)
+		}
+		notes := slices.Clone(v.Twins)
+		if v.Listening {
+			notes = append(notes, "listens, says nothing of others yet")
+		}
+		if v.Refused != "" {
+			notes = append(notes, v.Refused)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d of %d\t%s\t%s\t%d\t%s\n", v.Name, or(v.Zone, "-"), v.Start, phaseOf(v.Phase, v.Ramp), v.Hears,
+			v.Heard, v.Roster, strings.Join(zones, " "), seconds(v.ForMs), v.Stalls, strings.Join(notes, "; "))
+	}
+	w.Flush()
+	if len(views) == 1 {
+		fmt.Fprintln(w, "\npeer\tzone\tstart\tphase\theard\tcontact\tlast word\tlosses\tversion\tsettings")
+		for _, p := range views[0].Peers {
+			heard := map[bool]string{true: "yes", false: "no"}[p.Heard]
+			switch {
+			case p.Away != "":
+				heard = p.Away
+			case p.Damped:
+				heard = "flaps"
+			case p.Twin:
+				heard += ", two of the name"
+			}
+			how := p.Contact
+			if p.Through != "" {
+				how = "through " + p.Through
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%d\t%s\t%s\n", p.Name, or(p.Zone, "-"), p.Start, phaseOf(p.Phase, p.Ramp), heard, how,
+				seconds(p.AgeMs), p.Losses, or(p.Version, "-"), or(p.Settings, "-"))
+		}
+		w.Flush()
+	}
+	for _, d := range Differences(views) {
+		fmt.Fprintln(out, "differ: "+d)
+	}
+}
+
+func or(s, none string) string {
+	if s == "" {
+		return none
+	}
+	return s
+}
+
+func phaseOf(phase string, ramp float64) string {
+	if phase == Cold.String() {
+		return fmt.Sprintf("cold %.0f%%", 100*ramp)
+	}
+	return or(phase, "-")
+}
+
+func seconds(ms float64) string { return fmt.Sprintf("%.1f s", ms/1000) }
+
+// Differences names where two views differ: who is there, of which start, and in which settings. Servers that listen
+// first have no view yet.
+func Differences(views []Status) (all []string) {
+	type said struct{ heard, not []string }
+	of := map[string]*said{}
+	starts := map[string]map[uint64][]string{}
+	for _, v := range views {
+		if v.Listening {
+			continue
+		}
+		for _, p := range v.Peers {
+			s := of[p.Name]
+			if s == nil {
+				s = &said{}
+				of[p.Name], starts[p.Name] = s, map[uint64][]string{}
+			}
+			if p.Heard {
+				s.heard = append(s.heard, v.Name)
+				starts[p.Name][p.Start] = append(starts[p.Name][p.Start], v.Name)
+			} else if p.Away == "" {
+				s.not = append(s.not, v.Name)
+			}
+		}
+	}
+	names := make([]string, 0, len(of))
+	for name := range of {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if s := of[name]; len(s.heard) > 0 && len(s.not) > 0 {
+			all = append(all, fmt.Sprintf("%s is heard by %s and not by %s", name, strings.Join(s.heard, " "), strings.Join(s.not, " ")))
+		}
+		if len(starts[name]) > 1 {
+			all = append(all, fmt.Sprintf("%s is known by %d different starts", name, len(starts[name])))
+		}
+	}
+	settings := map[string][]string{}
+	for _, v := range views {
+		settings[v.Settings] = append(settings[v.Settings], v.Name)
+	}
+	if len(settings) > 1 {
+		var parts []string
+		for hash, who := range settings {
+			parts = append(parts, or(hash, "none")+" at "+strings.Join(who, " "))
+		}
+		slices.Sort(parts)
+		all = append(all, "settings: "+strings.Join(parts, ", "))
+	}
+	return all
+}
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -8,18 +8,14 @@
 	"fmt"
 	"io"
 	"net"
-	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"sorrelvalve/control"
-	"sorrelvalve/internal/back/engine"
 	"sorrelvalve/internal/back/pools"
-	"sorrelvalve/internal/front"
-	"sorrelvalve/internal/front/mprpc"
-	"sorrelvalve/internal/front/uwsgi"
+	"sorrelvalve/internal/daemon"
 	"sorrelvalve/internal/gate"
 	"sorrelvalve/internal/opening"
 	"sorrelvalve/internal/operator"
@@ -57,7 +53,7 @@
 	RPC, Web string // addresses
 	Gate     *gate.Gate
 	Pools    *pools.Backs
-	end      func()
+	whole    *daemon.Server
 }
 
 // NewServer puts a server together before an engine, with what an operator's file sets; its listen address is ignored.
@@ -69,56 +65,40 @@
 func NewKeptServer(o *opening.Opening, engineAddr string, f *operator.File, k gate.Keeper, rpc, web string) (*Server, error) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	log := logger.WithField("node", "lab")
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{Gate: gate.New(o, 256, func(string, string) {}), Pools: pools.New(1, log)}
-	if k != nil {
-		s.Gate.Keep(k)
-	}
-	link := engine.New(engineAddr, log, s.Gate.Start)
-	table := front.NewTable(4096, s.Gate.Idle, log)
-	s.Pools.Set(f)
-	run := s.Pools.Runner(link.Runner(), func(name string) bool {
-		i := slices.IndexFunc(o.Methods, func(m control.Method) bool { return m.Name == name })
-		return i >= 0 && o.Methods[i].Repeat == control.Idempotent
-	})
-	listen := func(addr string, open func(net.Conn) front.Conn) (string, error) {
-		ln, err := net.Listen("tcp", addr)
-		if err != nil {
-			return "", err
+	if strings.HasSuffix(web, ":0") { // an operator's file names its port
+		var err error
+		if web, err = freeAddr(); err != nil {
+			return nil, err
 		}
-		table.Listen(ln.(*net.TCPListener), open)
-		return ln.Addr().String(), nil
 	}
-	var err error
-	if s.RPC, err = listen(rpc, mprpc.New(table, s.Gate, run, log).Open); err == nil {
-		s.Web, err = listen(web, uwsgi.New(table, s.Gate, run, f, 1, log).Open)
+	own, at := *f, *f.UWSGI
+	at.Listen, own.UWSGI = web, &at
+	ln, err := net.Listen("tcp", rpc)
+	if err != nil {
+		return nil, err
 	}
-	go link.Serve(ctx)
-	go s.Pools.Serve(ctx)
-	go func() {
-		for wait := time.NewTimer(0); ; {
-			select {
-			case <-ctx.Done():
-				return
-			case <-wait.C:
-			}
-			wait.Reset(s.Gate.Tick(link.Gauges(10 * time.Millisecond)))
-		}
-	}()
-	s.end = func() {
-		fin, done := context.WithTimeout(context.Background(), time.Second)
-		defer done()
-		table.Finish(fin)
-		cancel()
+	t := daemon.Told{
+		Process: &opening.Process{Name: "lab", Engine: engineAddr, MemoryMB: 256, Sockets: 4096, Opening: o},
+		Op:      &operator.Record{File: own},
 	}
+	whole, err := daemon.NewKept(t, ln, logger.WithField("node", "lab"), k)
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	s := &Server{RPC: ln.Addr().String(), Web: whole.Web(), Gate: whole.Gate, Pools: whole.Pools(), whole: whole}
 	for began := time.Now(); !s.Gate.Started() && time.Since(began) < 5*time.Second; time.Sleep(time.Millisecond) {
 	}
-	return s, err
+	return s, nil
 }
 
-// Close ends it.
-func (s *Server) Close() { s.end() }
+// Close ends it once what is in hand has been answered, within a second.
+func (s *Server) Close() {
+	fin, done := context.WithTimeout(context.Background(), time.Second)
+	defer done()
+	s.whole.Finish(fin)
+	s.whole.Close()
+}
 
 // File is an operator's file with the defaults of its schema, as far as a lab needs them, and a POST route to
 // /METHOD for each method.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -39,6 +39,7 @@
 	Trace   *Trace            `json:"trace,omitempty"`
 	Store   *Store            `json:"store,omitempty"`
 	UWSGI   *UWSGI            `json:"uwsgi,omitempty"`
+	Fleet   *Fleet            `json:"fleet,omitempty"`
 	Routes  map[string]Route  `json:"routes,omitempty"`
 	Pools   map[string]Pool   `json:"pools,omitempty"`
 	Methods map[string]Method `json:"methods,omitempty"`
@@ -89,6 +90,17 @@
 	ToleranceMs float64 `json:"tolerance_ms"`
 }
 
+// Fleet is the server's part in a fleet whose servers know one another.
+type Fleet struct {
+	Name      string   `json:"name"`                // of the fleet
+	Listen    string   `json:"listen"`              // packets and streams
+	Advertise string   `json:"advertise,omitempty"` // where others reach it, if not there
+	Zone      string   `json:"zone"`
+	Seeds     []string `json:"seeds"`
+	KeyFile   string   `json:"key_file,omitempty"` // base64 of 16, 24 or 32 bytes
+	Socket    string   `json:"socket,omitempty"`   // for operators
+}
+
 // UWSGI is the front that accepts uwsgi.
 type UWSGI struct {
 	Listen     string  `json:"listen"`
@@ -320,6 +332,30 @@
 		within("trace.file_mb", t.FileMB, 0.1, 1<<20)
 		within("trace.files", float64(t.Files), 1, 1000)
 	}
+	if x := f.Fleet; x != nil {
+		if !isAddress(x.Listen) {
+			bad("fleet.listen", "an IP address and a port expected, %.60q there", x.Listen)
+		} else if host, _, _ := net.SplitHostPort(x.Listen); net.ParseIP(host).IsUnspecified() && x.Advertise == "" {
+			bad("fleet.advertise", "it must be set where fleet.listen is no address that others can reach")
+		}
+		if x.Advertise != "" && !isAddress(x.Advertise) {
+			bad("fleet.advertise", "an IP address and a port expected, %.60q there", x.Advertise)
+		}
+		if len(x.Seeds) > maxSeeds {
+			bad("fleet.seeds", "at most %d addresses expected, %d there", maxSeeds, len(x.Seeds))
+		}
+		for i, s := range x.Seeds {
+			if !isAddress(s) {
+				bad(fmt.Sprintf("fleet.seeds[%d]", i), "an IP address and a port expected, %.60q there", s)
+			}
+		}
+		if len(x.Zone) > 64 {
+			bad("fleet.zone", "at most 64 bytes expected")
+		}
+		if len(x.Name) > 64 {
+			bad("fleet.name", "at most 64 bytes expected")
+		}
+	}
 	if u := f.UWSGI; u != nil {
 		if !isAddress(u.Listen) {
 			bad("uwsgi.listen", "an IP address and a port, as 10.0.0.4:3031, expected, %.60q there", u.Listen)
@@ -395,6 +431,9 @@
 	return faults
 }
 
+// maxSeeds: a few in each zone are enough to find the rest by.
+const maxSeeds = 64
+
 // maxMembers of a pool: each costs a look at every choice.
 const maxMembers = 64
 
@@ -464,8 +503,15 @@
 	if f.UWSGI != nil {
 		n++
 	}
+	if f.Fleet != nil {
+		n += fleetDescriptors
+	}
 	return n
 }
 
+// fleetDescriptors: two sockets that listen, 32 exchanges that come in, two that go out, the operators' socket and its
+// eight readers, with some to spare.
+const fleetDescriptors = 48
+
 // Ms is a time of the file.
 func Ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/internal/operator/tree.go
+++ b/internal/operator/tree.go
@@ -12,7 +12,7 @@
 
 // StartOnly are the paths that only a new start can change: what the decisions are made from, where the front listens,
 // and the files that are held open.
-var StartOnly = []configure.Path{{"hold"}, {"limits"}, {"trace"}, {"store"}, {"uwsgi", "listen"}}
+var StartOnly = []configure.Path{{"hold"}, {"limits"}, {"trace"}, {"store"}, {"uwsgi", "listen"}, {"fleet"}}
 
 // Tree is a file as a tree.
 func Tree(f *File) (configure.Tree, error) {
