A fault bed of real processes behind relays, tests with faults between them; what they found mended

Need: only real processes with faults between them show how copies behave together. Change: internal/stand/bed: a relay over TCP and UDP before each process, which sends from its own address in 127.0.0.0/8; rules for each ordered pair (cut, drop, double, overtake, spoil, delay, rate), scripts by hand or from a seed with their acts logged, processes of this tree that are stopped, killed and started again by their own ids, a watch over their views whose checkers fail when they saw nothing. Seven tests: halves and one alone, a bridge and one way, loss and spoilt packets, a third stopped, killed and all at once, seeds that come late, two processes with one name. Found: spoilt packets killed a server. memberlist sums only part of its packets, so a spoilt one made a server with no name, which hearing.Known let through with no entry (nil at hearing.Alive); others would have stayed on the roster for good. Each packet now ends with its CRC-32C, names are checked before memberlist takes them, and the property test draws such names.

--- a/choose/hearing/hearing.go
+++ b/choose/hearing/hearing.go
@@ -154,11 +154,11 @@
 	return p, has
 }
 
-// Known puts a name on the roster, with its zone if that is known, and tells whether there was room. A life that left or
+// Known puts a name on the roster, with its zone if that is known, and tells whether it stands there; the own one does not. A life that left or
 // was declared gone is not put back; a later one is.
 func (h *Hearing) Known(now float64, name, zone string, start, life uint64) bool {
 	if name == h.self || name == "" {
-		return true
+		return false
 	}
 	p, has := h.get(name)
 	if !has {
@@ -210,7 +210,7 @@
 func (h *Hearing) Alive(now float64, name string) {
 	p, has := h.get(name)
 	if !has {
-		if !h.Known(now, name, "", 0, 0) || name == h.self {
+		if !h.Known(now, name, "", 0, 0) {
 			return
 		}
 		p, _ = h.get(name)
@@ -243,7 +243,7 @@
 func (h *Hearing) Leaves(now float64, name string, start uint64, why Away) {
 	p, has := h.get(name)
 	if !has { // word of it came before anything else: kept, so that older news does not put it back
-		if !h.Known(now, name, "", start, 0) || name == h.self {
+		if !h.Known(now, name, "", start, 0) {
 			return
 		}
 		p, _ = h.get(name)
--- a/choose/hearing/hearing_test.go
+++ b/choose/hearing/hearing_test.go
@@ -199,7 +199,7 @@
 		a, b := New(r, "self", "z", 0, 0), New(r, "self", "z", 0, 0)
 		now := 0.0
 		for range rapid.IntRange(1, 80).Draw(t, "acts") {
-			name := fmt.Sprint("n", rapid.IntRange(0, 7).Draw(t, "name"))
+			name := rapid.SampledFrom([]string{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "self", ""}).Draw(t, "name")
 			act := rapid.IntRange(0, 8).Draw(t, "act")
 			dt := rapid.SampledFrom([]float64{0, 50, 100, 400, 900, 1200}).Draw(t, "dt")
 			start := rapid.Uint64Range(0, 3).Draw(t, "start")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
@@ -178,6 +179,9 @@
 func (f *Fleet) begin() error {
 	f.ticked.Store(int64(f.now().Sub(f.origin)))
 	f.muted.Store(false)
+	if !goodName(f.o.Name) {
+		return errName
+	}
 	host, port, err := split(f.o.Listen)
 	if err != nil {
 		return err
@@ -209,7 +213,7 @@
 	c.TCPTimeout, c.ProbeInterval, c.ProbeTimeout = streamWait, probeEvery, probeWait
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = suspectMult, suspectMax
 	c.DeadNodeReclaimTime = time.Second // a name may come back under another address
-	c.Delegate, c.Events, c.Conflict, c.Ping = in, in, in, in
+	c.Delegate, c.Events, c.Conflict, c.Ping, c.Alive = in, in, in, in, in
 	if f.o.tune != nil {
 		f.o.tune(c)
 	}
@@ -399,6 +403,23 @@
 	return in.f.inst == in
 }
 
+// NotifyAlive keeps out names that no operator gave.
+func (in *instance) NotifyAlive(n *memberlist.Node) error {
+	if !goodName(n.Name) {
+		return errName
+	}
+	return nil
+}
+
+// nameBytes are the most that a name may have.
+const nameBytes = 64
+
+var errName = fmt.Errorf("a name of 1 to %d printing bytes expected", nameBytes)
+
+func goodName(s string) bool {
+	return s != "" && len(s) <= nameBytes && clean(s) == s && utf8.ValidString(s)
+}
+
 // NotifyJoin and the rest are called by memberlist.
 func (in *instance) NotifyJoin(n *memberlist.Node) { in.there(memberlist.NodeJoin, n) }
 
@@ -578,7 +599,9 @@
 	at := f.now()
 	now := f.ms(at)
 	r, err := spread.Parse(raw)
-	if err == nil && r.Origin == f.o.Name {
+	if err == nil && !goodName(r.Origin) {
+		raw = nil // as damaged
+	} else if err == nil && r.Origin == f.o.Name {
 		f.ownName(at, &r)
 		return
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net"
 	"path/filepath"
@@ -215,14 +217,17 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	user := func(raw []byte) []byte { return append([]byte{8, 1, 'b'}, raw...) } // memberlist's user message
+	user := func(raw []byte) []byte { // memberlist's user message, as the transport sums it
+		b := append([]byte{8, 1, 'b'}, raw...)
+		return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+	}
 	c.Write(user(old))
 	c.Write(user(old[:len(old)-3]))
 	wait(t, "replayed and damaged ones are counted", func() bool { n := a.Status().Records; return n.Old > 0 && n.Damaged > 0 })
 	for i := range 20000 {
 		c.Write([]byte(strings.Repeat(string(rune(i)), 1+i%200)))
 	}
-	wait(t, "the flood is dropped", func() bool { return a.Status().Traffic.Dropped > 1000 })
+	wait(t, "the flood is dropped", func() bool { n := a.Status().Traffic; return n.Dropped > 1000 && n.Damaged > 0 })
 	if r, _, _ := a.Get("b", "x"); string(r.Body) != "second" {
 		t.Errorf("the record is %q", r.Body)
 	}
--- /dev/null
+++ b/internal/fleet/process_test.go
@@ -0,0 +1,247 @@
+package fleet_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sorrelvalve/internal/daemon"
+	"sorrelvalve/internal/fleet"
+	"sorrelvalve/internal/operator"
+	"sorrelvalve/internal/stand/bed"
+)
+
+// TestMain serves as a whole server if it was started as one: the processes of the bed are this test's own program.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 2 && os.Args[1] == "serve" {
+		if err := (daemon.Command{Operator: os.Args[3]}).Run(fleet.Beside); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func serve() bed.Command { return bed.Command{Path: os.Args[0], Args: []string{"serve"}} }
+
+func names(n int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprint("n", i))
+	}
+	return all
+}
+
+// lay makes a bed, and starts all of it unless told otherwise.
+func lay(t *testing.T, o bed.Options) *bed.Bed {
+	t.Helper()
+	t.Parallel()
+	o.Serve = serve
+	b, err := bed.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, a := range b.Net.Acts() {
+				t.Log(a.At, a.Text)
+			}
+			for _, name := range b.Names {
+				log, _ := os.ReadFile(b.Procs.Log(name))
+				t.Logf("%s: %s", name, log[max(0, len(log)-1500):])
+			}
+		}
+		b.Close()
+	})
+	return b
+}
+
+func started(t *testing.T, o bed.Options) *bed.Bed {
+	b := lay(t, o)
+	if err := b.StartAll(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, b, o.Names, bed.Hears("whole", len(o.Names)))
+	return b
+}
+
+// within is long for a machine that does other things beside; what is measured is measured by valvelab.
+const within = 40 * time.Second
+
+func await(t *testing.T, b *bed.Bed, viewers []string, wanted func(*bed.Point) bool) {
+	t.Helper()
+	if err := b.Await(within, viewers, wanted); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func do(t *testing.T, b *bed.Bed, lines string) {
+	t.Helper()
+	s, err := bed.ParseScript(lines, b.Names)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range s {
+		if err := b.Do(x); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestHalvesAndOneAlone(t *testing.T) {
+	n := names(6)
+	b := started(t, bed.Options{Names: n, Seed: 1, Zone: func(i int) string { return fmt.Sprint("z", i%2) }})
+	do(t, b, "0s split n0,n1,n2|n3,n4,n5")
+	await(t, b, n, bed.Hears("part", 3))
+	for _, name := range n {
+		if s, err := b.View(name); err != nil || s.Roster != 6 || s.AtMost != 6 || s.AtLeast != 3 {
+			t.Errorf("%s: %+v %v", name, s, err)
+		}
+	}
+	do(t, b, "0s heal")
+	await(t, b, n, bed.Hears("whole", 6))
+	do(t, b, "0s cut n4>*\n0s cut *>n4")
+	await(t, b, n[4:5], bed.Hears("alone", 1))
+	await(t, b, append(n[:4:4], "n5"), bed.Hears("part", 5))
+	do(t, b, "0s heal\n0s relay n0,n3")
+	await(t, b, n, bed.Hears("whole", 6))
+}
+
+// A bridge: who is reached through another is there, and told from none.
+func TestBridgeAndOneWay(t *testing.T) {
+	n := names(3)
+	b := started(t, bed.Options{Names: n, Seed: 2, Seeds: n[1:2]})
+	do(t, b, "0s split n0|n2")
+	await(t, b, n[:1], func(p *bed.Point) bool { return p.Hears == "whole" && p.Peers[1].Contact == "through others" })
+	do(t, b, "0s heal\n0s cut n0>n2")
+	await(t, b, n[:1], func(p *bed.Point) bool { return p.Hears == "whole" && p.Peers[1].Contact == "one way" })
+	do(t, b, "0s heal\n0s cut n0>*") // it hears, and is heard by nobody
+	await(t, b, n[1:], bed.Hears("part", 2))
+	do(t, b, "0s heal")
+	await(t, b, n, bed.Hears("whole", 3))
+}
+
+// Loss, delay, doubled, overtaken and spoilt packets wrong nobody for good.
+func TestBadNetwork(t *testing.T) {
+	n := names(5)
+	b := started(t, bed.Options{Names: n, Seed: 3})
+	do(t, b, "0s loss *>* 0.3")
+	time.Sleep(3 * time.Second) // the fault's own length
+	do(t, b, "0s heal\n0s delay *>* 200ms 200ms\n0s mess *>* 0.1")
+	time.Sleep(3 * time.Second)
+	do(t, b, "0s heal")
+	await(t, b, n, bed.Hears("whole", 5))
+	if c := b.Net.Counts(); c.Lost == 0 || c.Doubled == 0 || c.Corrupted == 0 {
+		t.Errorf("the relay did nothing: %+v", c)
+	}
+}
+
+// A third is stopped for longer than any judgement takes: the rest see them silent and on the roster; they see on waking
+// that it was they who stalled, and hold nothing against anybody.
+func TestStopped(t *testing.T) {
+	n := names(6)
+	b := started(t, bed.Options{Names: n, Seed: 4})
+	w := b.Watch(20 * time.Millisecond)
+	defer w.Close()
+	do(t, b, "0s stop n1,n4")
+	await(t, b, []string{"n0", "n2", "n3", "n5"}, func(p *bed.Point) bool { return p.Hears == "part" && len(p.Heard) == 3 && p.Roster == 6 })
+	woke := w.Now()
+	do(t, b, "0s cont n1,n4")
+	await(t, b, n, bed.Hears("whole", 6))
+	w.Close()
+	seen, last := 0, map[string]bool{}
+	for _, p := range w.Points() {
+		if p.At < woke || p.Name != "n1" && p.Name != "n4" {
+			continue
+		}
+		if p.Stalls == 0 && p.Hears != "whole" {
+			t.Errorf("%s hears %s %v by what it knew before", p.Name, p.Hears, p.Heard)
+		}
+		if p.Stalls > 0 {
+			seen++
+			for _, x := range p.Peers {
+				if x.Losses > 0 && !last[p.Name] {
+					last[p.Name] = true
+					t.Errorf("%s holds a loss against %s", p.Name, x.Name)
+				}
+			}
+		}
+	}
+	if seen == 0 {
+		t.Error("nobody was seen after waking")
+	}
+	for _, name := range []string{"n0", "n2", "n3", "n5"} {
+		for _, x := range must(b.View(name)).Peers {
+			if sound := x.Name != "n1" && x.Name != "n4"; sound && x.Losses > 0 {
+				t.Errorf("%s lost %s, which ran all the time", name, x.Name)
+			}
+		}
+	}
+}
+
+func must(s fleet.Status, err error) fleet.Status {
+	if err != nil {
+		s.Refused = err.Error()
+	}
+	return s
+}
+
+func TestKilledAndTwin(t *testing.T) {
+	n := names(4)
+	b := started(t, bed.Options{Names: n, Seed: 5})
+	do(t, b, "0s kill n2\n0s start n2")
+	await(t, b, n, func(p *bed.Point) bool {
+		for _, x := range p.Peers {
+			if x.Name == "n2" && x.Start != 2 {
+				return false
+			}
+		}
+		return p.Hears == "whole" && len(p.Heard) == 3 && (p.Name != "n2" || p.Start == 2)
+	})
+	do(t, b, "0s kill n0,n1,n2,n3\n0s start n0,n1,n2,n3") // all at once
+	await(t, b, n, bed.Hears("whole", 4))
+	if out, err := b.Procs.Ended("n0", 0); err == nil {
+		t.Errorf("n0 ended: %s", out)
+	}
+	do(t, b, "0s term n3")
+	if how, err := b.Procs.Ended("n3", within); err != nil || how != "exit 0" {
+		t.Errorf("a server that is asked to stop: %s %v", how, err)
+	}
+	await(t, b, n[:3], func(p *bed.Point) bool { return p.Hears == "whole" && p.Roster == 3 })
+}
+
+// Seeds that are down when all others start, and come later; before that, servers are alone and serve.
+func TestSeedsLate(t *testing.T) {
+	n := names(4)
+	b := lay(t, bed.Options{Names: n, Seed: 6, Seeds: n[:1]})
+	do(t, b, "0s start n1,n2,n3")
+	await(t, b, n[1:], func(p *bed.Point) bool { return p.Hears == "alone" && !p.Listening })
+	do(t, b, "0s start n0")
+	await(t, b, n, bed.Hears("whole", 4))
+}
+
+// Two processes with one name: the second gives way, says why, and serves on.
+func TestTwinProcess(t *testing.T) {
+	n := names(3)
+	b := started(t, bed.Options{Names: n, Seed: 7})
+	e := b.Net.End("n1")
+	ln, err := net.Listen("tcp", net.JoinHostPort(e.Own, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := ln.Addr().String()
+	ln.Close()
+	f := operator.Fleet{Listen: own, Seeds: []string{b.Net.End("n0").Reach(), b.Net.End("n2").Reach()}, Socket: b.Socket("twin")}
+	if err := b.Another("twin", "n1", f); err != nil {
+		t.Fatal(err)
+	}
+	await(t, b, []string{"twin"}, func(p *bed.Point) bool { return strings.Contains(p.Refused, "the name n1 is") })
+	await(t, b, n, bed.Hears("whole", 3))
+	if err := b.Procs.Signal("twin", syscall.Signal(0)); err != nil {
+		t.Errorf("the second process is gone: %v", err)
+	}
+}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -64,7 +64,7 @@
 
 // Traffic is counted since the start.
 type Traffic struct {
-	PacketsIn, PacketsOut, BytesIn, BytesOut, Dropped, Streams, Complaints uint64
+	PacketsIn, PacketsOut, BytesIn, BytesOut, Dropped, Damaged, Streams, Complaints uint64
 }
 
 // Status tells the view as it is now.
@@ -101,7 +101,7 @@
 	c := &f.count
 	s.Traffic = Traffic{
 		PacketsIn: c.packetsIn.Load(), PacketsOut: c.packetsOut.Load(), BytesIn: c.bytesIn.Load(), BytesOut: c.bytesOut.Load(),
-		Dropped: c.dropped.Load(), Streams: c.streams.Load(), Complaints: f.complaints.Load(),
+		Dropped: c.dropped.Load(), Damaged: c.damaged.Load(), Streams: c.streams.Load(), Complaints: f.complaints.Load(),
 	}
 	return s
 }
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"hash/crc32"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -30,9 +32,15 @@
 	memberlist.NodeAwareTransport
 }
 
+// Each packet ends with the CRC-32C of what stands before. memberlist sums only part of its packets, and one spoilt byte
+// in a name makes a server that never was, which would stay on the roster for good.
+const sumBytes = 4
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
 // traffic is counted by all transports that a fleet has in its life.
 type traffic struct {
-	packetsIn, packetsOut, bytesIn, bytesOut, dropped, streams atomic.Uint64
+	packetsIn, packetsOut, bytesIn, bytesOut, dropped, damaged, streams atomic.Uint64
 }
 
 type transport struct {
@@ -86,6 +94,12 @@
 			t.count.dropped.Add(1)
 			continue
 		}
+		whole := len(p.Buf) - sumBytes
+		if whole < 1 || binary.LittleEndian.Uint32(p.Buf[whole:]) != crc32.Checksum(p.Buf[:whole], castagnoli) {
+			t.count.damaged.Add(1)
+			continue
+		}
+		p.Buf = p.Buf[:whole]
 		t.count.packetsIn.Add(1)
 		t.count.bytesIn.Add(uint64(len(p.Buf)))
 		t.word(from)
@@ -136,9 +150,11 @@
 		t.count.dropped.Add(1)
 		return time.Now(), nil
 	}
+	summed := make([]byte, 0, len(b)+sumBytes) // memberlist may send the same bytes to several
+	summed = binary.LittleEndian.AppendUint32(append(summed, b...), crc32.Checksum(b, castagnoli))
 	t.count.packetsOut.Add(1)
-	t.count.bytesOut.Add(uint64(len(b)))
-	return t.lower.WriteToAddress(b, a)
+	t.count.bytesOut.Add(uint64(len(summed)))
+	return t.lower.WriteToAddress(summed, a)
 }
 
 // DialTimeout and DialAddressTimeout open a stream from the server's own address.
--- /dev/null
+++ b/internal/stand/bed/bed.go
@@ -0,0 +1,330 @@
+package bed
+
+// This file owns a bed as a whole: names, their relays and processes, what each is told, and a watch over their views of
+// one another. It must never tell a process anything of the faults that are played.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"sorrelvalve/internal/fleet"
+	"sorrelvalve/internal/operator"
+	"sorrelvalve/internal/stand"
+)
+
+// Options are those of a bed.
+type Options struct {
+	Names []string
+	Zone  func(i int) string // nil: none
+	Seeds []string           // names; nil: the first three
+	Seed  int64
+	Fleet string         // the fleet's name
+	Alone bool           // no fleet in the operator's records
+	Rules *stand.Rules   // hears of runs; may be nil
+	Cores float64        // of each engine; 0 for no engines
+	Serve func() Command // the program up to and with its sub-command, to which --operator RECORD is added
+	File  operator.File  // what stands in the records beside the fleet
+	Set   string         // settings, as JSON; "" for one method, view
+}
+
+// Bed is relays, processes and engines.
+type Bed struct {
+	Net     *Net
+	Procs   *Procs
+	Names   []string
+	Engines map[string]*stand.Engine
+	Machine map[string]*stand.Cores
+	dir     string
+	listen  map[string]string
+	end     []func()
+}
+
+// plainSettings are enough for servers that are not sent anything.
+const plainSettings = `{"classes":[{"name":"view","aim":1000000000,"give_up":5000000000}],"family_info":{"cores":2,"ram_kb":100000},"rules":{"drain_grace":200000000,"tip_multiple":8}}`
+
+// New lays out a bed; nothing runs yet.
+func New(o Options) (b *Bed, err error) {
+	dir, err := os.MkdirTemp("", "bed") // short: the path of a socket has a bound
+	if err != nil {
+		return nil, err
+	}
+	b = &Bed{Names: o.Names, dir: dir, Engines: map[string]*stand.Engine{}, Machine: map[string]*stand.Cores{}, listen: map[string]string{}}
+	b.end = append(b.end, func() { os.RemoveAll(dir) })
+	defer func() {
+		if err != nil {
+			b.Close()
+		}
+	}()
+	if b.Net, err = NewNet(o.Seed, o.Names...); err != nil {
+		return nil, err
+	}
+	b.end = append(b.end, b.Net.Close)
+	members, endMembers, err := stand.Members()
+	if err != nil {
+		return nil, err
+	}
+	b.end = append(b.end, endMembers)
+	seeds := o.Seeds
+	if seeds == nil {
+		seeds = o.Names[:min(3, len(o.Names))]
+	}
+	if o.Set == "" {
+		o.Set = plainSettings
+	}
+	for i, name := range o.Names {
+		e := b.Net.End(name)
+		engine := net.JoinHostPort(e.Own, "9") // nobody listens there
+		if o.Cores > 0 {
+			b.Machine[name] = stand.NewCores(o.Cores, 8)
+			if b.Engines[name], err = stand.NewEngine(b.Machine[name], stand.ByBody, o.Rules); err != nil {
+				return nil, err
+			}
+			engine = b.Engines[name].Addr()
+			b.end = append(b.end, b.Engines[name].Close)
+		}
+		b.listen[name] = net.JoinHostPort(e.Own, fmt.Sprint(e.Port+1))
+		told := fmt.Sprintf(`{"name":%q,"listen":%q,"engine":%q,"members":%q,"seed":"%x","stop_ms":2000,"limits":{"memory_mb":192,"sockets":512},"settings":%s}`,
+			name, b.listen[name], engine, members, i+1, o.Set)
+		file := o.File
+		file.Version = "bed"
+		if !o.Alone {
+			file.Fleet = &operator.Fleet{Name: o.Fleet, Listen: e.Listen(), Advertise: e.Reach(), Socket: b.Socket(name)}
+			if o.Zone != nil {
+				file.Fleet.Zone = o.Zone(i)
+			}
+			for _, s := range seeds {
+				file.Fleet.Seeds = append(file.Fleet.Seeds, b.Net.End(s).Reach())
+			}
+		}
+		record, err := operator.Append(&file)
+		if err == nil {
+			err = os.WriteFile(b.path(name, "json"), []byte(told), 0o600)
+		}
+		if err == nil {
+			err = os.WriteFile(b.path(name, "record"), record, 0o600)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	b.Procs = NewProcs(dir, b.Net, func(name string) Command {
+		c := o.Serve()
+		c.Args = append(slices.Clone(c.Args), "--operator", b.path(name, "record"))
+		c.Env = append(slices.Clone(c.Env), "EDGE_CONFIG="+b.path(name, "json"))
+		return c
+	})
+	b.end = append(b.end, b.Procs.Close)
+	return b, nil
+}
+
+func (b *Bed) path(name, kind string) string { return filepath.Join(b.dir, name+"."+kind) }
+
+// Socket is where a name's operators come.
+func (b *Bed) Socket(name string) string { return b.path(name, "sock") }
+
+// Listen is where a name takes RPCs.
+func (b *Bed) Listen(name string) string { return b.listen[name] }
+
+// StartAll starts all names at once.
+func (b *Bed) StartAll() error {
+	for _, name := range b.Names {
+		if err := b.Procs.Start(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends all that was started and removes what was written.
+func (b *Bed) Close() {
+	for i := len(b.end) - 1; i >= 0; i-- {
+		b.end[i]()
+	}
+	b.end = nil
+}
+
+// View asks one server.
+func (b *Bed) View(name string) (fleet.Status, error) {
+	ctx, end := context.WithTimeout(context.Background(), time.Second)
+	defer end()
+	return fleet.Ask(ctx, b.Socket(name))
+}
+
+// Point is one server's view at one time.
+type Point struct {
+	At    time.Duration
+	Name  string
+	Heard []string // others, sorted
+	fleet.Status
+}
+
+// Watch asks all servers that run, again and again, until it is ended.
+type Watch struct {
+	bed   *Bed
+	began time.Time
+	end   context.CancelFunc
+	wg    sync.WaitGroup
+
+	mu     sync.Mutex
+	points []Point
+}
+
+// mostPoints bounds a watch: 100 servers, ten times a second, for two minutes.
+const mostPoints = 120000
+
+// Watch begins one, which asks each server every so often.
+func (b *Bed) Watch(every time.Duration) *Watch {
+	ctx, end := context.WithCancel(context.Background())
+	w := &Watch{bed: b, began: time.Now(), end: end}
+	for _, name := range b.Names {
+		w.wg.Go(func() {
+			tick := time.NewTicker(every)
+			defer tick.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-tick.C:
+				}
+				if !b.Procs.Runs(name) {
+					continue
+				}
+				asked, endAsk := context.WithTimeout(ctx, time.Second)
+				s, err := fleet.Ask(asked, b.Socket(name))
+				endAsk()
+				if err != nil {
+					continue
+				}
+				p := Point{At: time.Since(w.began), Name: name, Status: s}
+				for _, x := range s.Peers {
+					if x.Heard {
+						p.Heard = append(p.Heard, x.Name)
+					}
+				}
+				w.mu.Lock()
+				if len(w.points) < mostPoints {
+					w.points = append(w.points, p)
+				}
+				w.mu.Unlock()
+			}
+		})
+	}
+	return w
+}
+
+// Now is the time of the watch.
+func (w *Watch) Now() time.Duration { return time.Since(w.began) }
+
+// Points are those so far.
+func (w *Watch) Points() []Point {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.points)
+}
+
+// Close ends it.
+func (w *Watch) Close() {
+	w.end()
+	w.wg.Wait()
+}
+
+// Settled tells from when on, between two times, each of the viewers' views is as it is wanted, given by the viewer's name
+// and its view. It fails if one of them was not seen at all after that, or never settled.
+func (w *Watch) Settled(from, until time.Duration, viewers []string, wanted func(p *Point) bool) (time.Duration, error) {
+	last, seen := map[string]time.Duration{}, map[string]int{}
+	for _, p := range w.Points() {
+		if p.At < from || p.At > until || !slices.Contains(viewers, p.Name) {
+			continue
+		}
+		seen[p.Name]++
+		if !wanted(&p) {
+			last[p.Name] = p.At
+			seen[p.Name] = 0
+		}
+	}
+	settled := from
+	for _, name := range viewers {
+		if seen[name] < 3 {
+			return 0, fmt.Errorf("%s: %d views as wanted at the end, three at least expected", name, seen[name])
+		}
+		settled = max(settled, last[name])
+	}
+	return settled, nil
+}
+
+// Await polls until all the viewers' views are as wanted at one time; it returns the last views if that takes too long.
+func (b *Bed) Await(within time.Duration, viewers []string, wanted func(p *Point) bool) error {
+	var last string
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		good := 0
+		last = ""
+		for _, name := range viewers {
+			s, err := b.View(name)
+			if err != nil {
+				last += fmt.Sprintf("%s: %v; ", name, err)
+				continue
+			}
+			p := Point{Name: name, Status: s}
+			for _, x := range s.Peers {
+				if x.Heard {
+					p.Heard = append(p.Heard, x.Name)
+				}
+			}
+			if wanted(&p) {
+				good++
+			} else {
+				last += fmt.Sprintf("%s hears %s %v, listening %v, stalls %d; ", name, s.Hears, p.Heard, s.Listening, s.Stalls)
+			}
+		}
+		if good == len(viewers) && good > 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("not within %s: %s", within, last)
+}
+
+// Hears is a wish for Await and Settled: a state, and so many heard, the server itself included.
+func Hears(state string, heard int) func(p *Point) bool {
+	return func(p *Point) bool { return p.Hears == state && len(p.Heard)+1 == heard }
+}
+
+// JSON is a point as one line, for logs of a run.
+func (p *Point) JSON() string {
+	b, _ := json.Marshal(p)
+	return string(b)
+}
+
+// Another writes what a further process under a name that is taken is told, and starts it as id.
+func (b *Bed) Another(id, name string, f operator.Fleet) error {
+	told, err := os.ReadFile(b.path(name, "json"))
+	if err != nil {
+		return err
+	}
+	var t map[string]any
+	if err := json.Unmarshal(told, &t); err != nil {
+		return err
+	}
+	host, _, _ := net.SplitHostPort(f.Listen)
+	t["listen"] = net.JoinHostPort(host, "9999")
+	record, err := operator.Append(&operator.File{Version: "bed", Fleet: &f})
+	if err == nil {
+		told, err = json.Marshal(t)
+	}
+	if err == nil {
+		err = os.WriteFile(b.path(id, "json"), told, 0o600)
+	}
+	if err == nil {
+		err = os.WriteFile(b.path(id, "record"), record, 0o600)
+	}
+	if err != nil {
+		return err
+	}
+	return b.Procs.Start(id)
+}
--- /dev/null
+++ b/internal/stand/bed/bed_test.go
@@ -0,0 +1,120 @@
+package bed
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestScript(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	for text, fault := range map[string]string{
+		"5s split a|b,c":                  "",
+		"1s cut a>*\n2s loss *>* 0.1 # x": "",
+		"3s delay *>a 300ms 100ms":        "",
+		"5s split a|d":                    `line 1: "d" is none of the names`,
+		"\n5s cut a,b":                    "line 2: cut",
+		"5 heal":                          "a time as 5s expected",
+		"5s explode a":                    "no act",
+		"5s loss *>* 2":                   "a chance from 0 to 1",
+		"5s delay *>* x y":                "invalid duration",
+		"5s kill":                         "not its number of words",
+	} {
+		s, err := ParseScript(text, names)
+		if fault == "" && err != nil || fault != "" && (err == nil || !strings.Contains(err.Error(), fault)) {
+			t.Errorf("%q: %v, want %q", text, err, fault)
+		}
+		if again, err2 := ParseScript(s.String(), names); err == nil && (err2 != nil || again.String() != s.String()) {
+			t.Errorf("%q is written as %q", text, s)
+		}
+	}
+	for seed := range int64(50) {
+		s := RandomScript(seed, names, 10*time.Second, 3)
+		if again, err := ParseScript(s.String(), names); err != nil || again.String() != s.String() || s.String() != RandomScript(seed, names, 10*time.Second, 3).String() {
+			t.Fatalf("seed %d: %v\n%s", seed, err, s)
+		}
+	}
+}
+
+// A relay knows who speaks, passes both ways, cuts one way, and lets a stream that stood still go on.
+func TestRelay(t *testing.T) {
+	n, err := NewNet(1, "a", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	a, b := n.End("a"), n.End("b")
+	ends := map[*End]*net.UDPConn{}
+	for _, e := range []*End{a, b} {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(e.Own), Port: e.Port})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		ends[e] = c
+	}
+	to, _ := net.ResolveUDPAddr("udp", b.Reach())
+	buf := make([]byte, 100)
+	ends[a].WriteToUDP([]byte("word"), to)
+	size, from, err := ends[b].ReadFromUDP(buf)
+	if err != nil || string(buf[:size]) != "word" || from.String() != a.Reach() {
+		t.Fatalf("%q from %v, %v", buf[:size], from, err)
+	}
+	n.Change("one way", []string{"a"}, []string{"b"}, func(r *Rule) { r.Cut = true })
+	ends[a].WriteToUDP([]byte("lost"), to)
+	ends[b].WriteToUDP([]byte("back"), from)
+	if size, _, err := ends[a].ReadFromUDP(buf); err != nil || string(buf[:size]) != "back" {
+		t.Fatalf("the other way: %q %v", buf[:size], err)
+	}
+	ln, err := net.Listen("tcp", b.Listen())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(c, c)
+		}
+	}()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(a.Own)}}
+	c, err := d.Dial("tcp", b.Reach())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	c.Write([]byte("held"))
+	n.mu.Lock()
+	streams := n.counts.Streams
+	n.mu.Unlock()
+	if streams != 0 {
+		t.Error("a stream went through a cut")
+	}
+	n.Heal()
+	if _, err := io.ReadFull(c, buf[:4]); err != nil || string(buf[:4]) != "held" {
+		t.Errorf("after the heal: %q %v", buf[:4], err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.counts.Lost != 1 {
+		t.Errorf("%+v", n.counts)
+	}
+}
+
+func TestCheckerThatSawNothing(t *testing.T) {
+	w := &Watch{}
+	if _, err := w.Settled(0, time.Second, []string{"a"}, Hears("whole", 2)); err == nil {
+		t.Error("a watch that saw nothing says that all is well")
+	}
+	w.points = []Point{{At: 1, Name: "a"}, {At: 2, Name: "a"}, {At: 3, Name: "a"}}
+	if _, err := w.Settled(0, time.Second, []string{"a"}, Hears("whole", 2)); err == nil {
+		t.Error("views that never were as wanted pass")
+	}
+}
