--- a/choose/hearing/hearing.go
+++ b/choose/hearing/hearing.go
@@ -113,6 +113,11 @@
 	better     State // what it would be but for Settle, and since when
 	betterAt   float64
 	changed    int // states
+
+	// Kept as things happen, since fleets are large and ticks are many: names on the roster, those of them that the detector
+	// finds there, and peers that were lost so often that they may not count though they are there.
+	here, there int
+	flappers    []*peer
 }
 
 // New returns an instance that listens first. now is ms of the own clock and wall of the wall clock.
@@ -140,7 +145,8 @@
 // Void forgets what was heard, not who there is: the roster stays.
 func (h *Hearing) Void(now float64) {
 	for _, p := range h.order {
-		p.alive, p.since, p.in, p.acked, p.via, p.through = false, now, math.Inf(-1), math.Inf(-1), math.Inf(-1), ""
+		h.mark(p, false, p.away)
+		p.since, p.in, p.acked, p.via, p.through = now, math.Inf(-1), math.Inf(-1), math.Inf(-1), ""
 	}
 	h.word, h.listens = math.Inf(-1), now+h.r.Listen
 	h.set(now, Alone)
@@ -149,6 +155,21 @@
 // Listening tells whether nothing may be said of others yet.
 func (h *Hearing) Listening(now float64) bool { return now < h.listens }
 
+// mark sets what the detector finds and whether the name is on the roster, and keeps the counts.
+func (h *Hearing) mark(p *peer, alive bool, away Away) {
+	count := func(by int) {
+		if p.away == Here {
+			h.here += by
+			if p.alive {
+				h.there += by
+			}
+		}
+	}
+	count(-1)
+	p.alive, p.away = alive, away
+	count(1)
+}
+
 func (h *Hearing) get(name string) (*peer, bool) {
 	p, has := h.peers[name]
 	return p, has
@@ -168,6 +189,7 @@
 		p = &peer{name: name, start: start, life: life, since: now, formerAt: math.Inf(-1)}
 		p.in, p.acked, p.via = math.Inf(-1), math.Inf(-1), math.Inf(-1)
 		h.peers[name] = p
+		h.here++
 		i, _ := slices.BinarySearchFunc(h.order, name, func(p *peer, name string) int { return cmp.Compare(p.name, name) })
 		h.order = slices.Insert(h.order, i, p)
 	}
@@ -184,7 +206,8 @@
 		p.former, p.formerAt = p.life, now
 		p.start, p.life = start, life
 		if p.away != Here {
-			p.away, p.awayAt = Here, now
+			h.mark(p, p.alive, Here)
+			p.awayAt = now
 		}
 	}
 	return true
@@ -216,11 +239,12 @@
 		p, _ = h.get(name)
 	}
 	if p.away != Here { // it is there, whatever was said
-		p.away, p.awayAt = Here, now
+		p.awayAt = now
 	}
 	if !p.alive {
-		p.alive, p.since = true, now
+		p.since = now
 	}
+	h.mark(p, true, Here)
 	h.settle(now)
 }
 
@@ -230,10 +254,14 @@
 	if !has || !p.alive {
 		return
 	}
-	p.alive, p.since = false, now
+	h.mark(p, false, p.away)
+	p.since = now
 	if !h.Listening(now) && now-h.word < h.r.Quiet { // else it is we who hear nothing
 		p.penalty, p.penaltyAt = p.faded(now)+1, now
 		p.losses++
+		if p.penalty >= flapFrom && !slices.Contains(h.flappers, p) {
+			h.flappers = append(h.flappers, p)
+		}
 	}
 	h.settle(now)
 }
@@ -251,7 +279,8 @@
 	if start < p.start && start != 0 {
 		return
 	}
-	p.alive, p.since, p.away, p.awayAt = false, now, why, now
+	h.mark(p, false, why)
+	p.since, p.awayAt = now, now
 	h.settle(now)
 }
 
@@ -296,15 +325,19 @@
 
 // census counts the roster and who of it is heard, the server itself included.
 func (h *Hearing) census(now float64) (roster, heard int) {
-	roster, heard = 1, 1
-	for _, p := range h.order {
-		if p.away == Here {
-			roster++
-			if h.counts(p, now) {
-				heard++
-			}
+	roster, heard = 1+h.here, 1+h.there
+	keep := h.flappers[:0]
+	for _, p := range h.flappers {
+		if p.faded(now) < flapFrom || h.peers[p.name] != p {
+			continue
+		}
+		keep = append(keep, p)
+		if p.alive && p.away == Here && !h.counts(p, now) {
+			heard--
 		}
 	}
+	clear(h.flappers[len(keep):])
+	h.flappers = keep
 	return roster, heard
 }
 
--- a/choose/hearing/hearing_test.go
+++ b/choose/hearing/hearing_test.go
@@ -229,10 +229,20 @@
 			if fmt.Sprint(v, a.Peers(now)) != fmt.Sprint(b.View(now), b.Peers(now)) {
 				t.Fatal("two instances that were told the same differ")
 			}
+			roster, heard := 1, 1
 			for _, p := range a.Peers(now) {
 				if p.Heard && (!p.Alive || p.Away != Here) {
 					t.Fatalf("%+v", p)
 				}
+				if p.Away == Here {
+					roster++
+				}
+				if p.Heard {
+					heard++
+				}
+			}
+			if v.Roster != roster || v.Heard != heard {
+				t.Fatalf("counted %d of %d, kept %+v", heard, roster, v)
 			}
 			if v.Listening && v.State != Alone {
 				t.Fatalf("it listens, and says %s", v.State)
--- a/cmd/valvefleet/main.go
+++ b/cmd/valvefleet/main.go
@@ -6,21 +6,25 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/url"
 	"os"
 	"os/signal"
 	"os/user"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"sorrelvalve/internal/daemon"
 	"sorrelvalve/internal/fleet"
+	"sorrelvalve/internal/stand/bed"
 )
 
 type command struct {
 	Serve   serveCmd   `cmd:"" help:"Serve RPCs until SIGTERM or SIGINT, as sorrelvalve serve does, with a part in the fleet that the operator's record names."`
 	Status  statusCmd  `cmd:"" help:"Tell what servers hear of their fleet, and where their views differ."`
+	Demo    demoCmd    `cmd:"" help:"Start servers with stand-in engines and callers on loopback, print who hears whom, and take faults."`
 	Gone    goneCmd    `cmd:"" help:"Declare that a silent server will not come back, so that it leaves the roster."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -76,6 +80,33 @@
 	}
 }
 
+type demoCmd struct {
+	Servers int    `default:"6" help:"From 2 to 30."`
+	Faults  string `type:"existingfile" placeholder:"SCRIPT" help:"Acts with their times, a line each, as: 5s split n0,n1|n2,n3. The demo ends with the last; without it acts are typed."`
+}
+
+func (c demoCmd) Run() error {
+	if c.Servers < 2 || c.Servers > 30 {
+		return fmt.Errorf("--servers: 2 to 30 expected, %d there", c.Servers)
+	}
+	var text string
+	var in io.Reader = os.Stdin
+	if c.Faults != "" {
+		b, err := os.ReadFile(c.Faults)
+		if err != nil {
+			return err
+		}
+		text, in = string(b), nil
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, end := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer end()
+	return bed.Demo(ctx, c.Servers, text, bed.Command{Path: own, Args: []string{"serve"}}, in, os.Stdout)
+}
+
 type goneCmd struct {
 	Socket string `arg:"" type:"path" help:"Of any server that hears the fleet."`
 	Name   string `arg:"" help:"Of the server that will not come back."`
--- a/cmd/valvelab/main.go
+++ b/cmd/valvelab/main.go
@@ -23,6 +23,7 @@
 	{"durable-kill", "a process with a durable store, killed at random under repeated purchases by both fronts", lab.DurableKill},
 	{"durable-cost", "what the durable store costs: off, on, on a slow disk", lab.DurableCost},
 	{"embedded", "a gin program at 150% of its cores: bare, behind a semaphore, behind the valve", lab.Embedded},
+	{"fleet-hearing", "eight real processes that know one another, behind relays: killed, cut, stopped, healed", lab.Hearing},
 	{"pools", "five uwsgi members of which one turns bad and recovers, beside round robin without ejection", lab.Pools},
 }
 
@@ -30,8 +31,9 @@
 	List listCmd `cmd:"" help:"List the experiments."`
 	Run  runCmd  `cmd:"" help:"Run one."`
 
-	Node    nodeCmd    `cmd:"" hidden:"" help:"The process of the experiment durable-kill."`
-	Program programCmd `cmd:"" hidden:"" help:"The program of the experiment embedded."`
+	Node        nodeCmd        `cmd:"" hidden:"" help:"The process of the experiment durable-kill."`
+	FleetServer fleetServerCmd `cmd:"" hidden:"" help:"The process of the experiments on the fleet."`
+	Program     programCmd     `cmd:"" hidden:"" help:"The program of the experiment embedded."`
 }
 
 type listCmd struct{}
@@ -49,6 +51,12 @@
 
 func (c programCmd) Run() error { return lab.Program(c.Way) }
 
+type fleetServerCmd struct {
+	Operator string
+}
+
+func (c fleetServerCmd) Run() error { return lab.FleetServer(c.Operator) }
+
 type nodeCmd struct {
 	Dir    string `arg:""`
 	Engine string `arg:""`
