A simulator of the fleet: the servers' own decisions on a virtual clock, with faults and checkers

Need: processes show that the program holds; they can't show thousands of servers, nor every interleaving. Change: internal/world: a discrete-event simulator, seeded and exact; servers run the gate with control/ and choose/hearing, before engines of shared cores; a model of memberlist's detector; routers that stick, heed and retry; cuts, loss, delay, stalls, kills, drains, clocks that drift and step, by the schedules that the fault bed plays.

--- a/choose/hearing/hearing.go
+++ b/choose/hearing/hearing.go
@@ -21,6 +21,7 @@
 	Settle float64 // for which a peer, or a better state, must hold until it counts
 	Direct float64 // within which a peer must have spoken to us to count as in contact; it grows with the roster
 	Peers  int     // names that are kept at the most
+	Expect int     // servers that there are, as an operator says; a smaller roster is not the whole. 0 for not told
 }
 
 // Usual are rules for a detector that asks somebody every 500 ms and needs two seconds at the least to call one silent: a
@@ -112,7 +113,8 @@
 	since      float64
 	better     State // what it would be but for Settle, and since when
 	betterAt   float64
-	changed    int // states
+	changed    int  // states
+	met        bool // somebody, in this life
 
 	// Kept as things happen, since fleets are large and ticks are many: names on the roster, those of them that the detector
 	// finds there, and peers that were lost so often that they may not count though they are there.
@@ -244,6 +246,7 @@
 	if !p.alive {
 		p.since = now
 	}
+	h.met = true
 	h.mark(p, true, Here)
 	h.settle(now)
 }
@@ -347,10 +350,10 @@
 	roster, heard := h.census(now)
 	switch {
 	case h.Listening(now):
-	case roster == 1 && len(h.order) > 0: // all others have left: a fleet of one
+	case roster == 1 && len(h.order) > 0 && h.r.Expect <= 1: // all others have left: a fleet of one
 		to = Whole
 	case roster > 1 && now-h.word >= h.r.Quiet: // not even a word
-	case heard == roster && roster > 1:
+	case heard == roster && roster > 1 && roster >= h.r.Expect:
 		to = Whole
 	case heard > 1:
 		to = Part
@@ -412,10 +415,17 @@
 	For             float64 // ms in this state
 	Roster, Heard   int     // self included
 	AtLeast, AtMost int     // servers that are there, whatever is not known
+	Blind           bool    // never in contact in this life, nor told what to expect: there may be more than AtMost
 	Zones           []Zone  // by name, the own one included
 	Stalls, Changes int
 }
 
+// State is that of View, at no cost.
+func (h *Hearing) State(now float64) State {
+	h.settle(now)
+	return h.state
+}
+
 // View tells what is heard now.
 func (h *Hearing) View(now float64) View {
 	h.settle(now)
@@ -443,7 +453,8 @@
 	if h.state == Alone {
 		v.Heard = 1
 	}
-	v.AtLeast, v.AtMost = v.Heard, v.Roster
+	v.AtLeast, v.AtMost = v.Heard, max(v.Roster, h.r.Expect)
+	v.Blind = !h.met && h.r.Expect == 0
 	return v
 }
 
@@ -491,6 +502,9 @@
 	return all
 }
 
+// Names is how many are remembered, those away included.
+func (h *Hearing) Names() int { return len(h.order) }
+
 // Silent are the names on the roster that the detector does not find: whom to try to join again.
 func (h *Hearing) Silent() (names []string) {
 	for _, p := range h.order {
--- a/choose/hearing/hearing_test.go
+++ b/choose/hearing/hearing_test.go
@@ -110,6 +110,22 @@
 	}
 }
 
+// A fresh server knows that it does not know; one that is told how many to expect does not take a part for the whole.
+func TestBlind(t *testing.T) {
+	b := newBed(t)
+	b.run(5000)
+	if v := b.h.View(b.now); !v.Blind || v.State != Alone {
+		t.Errorf("%+v", v)
+	}
+	b.h.Alive(b.now, "x")
+	b.speak = []string{"x"}
+	b.run(2000)
+	b.want(Whole, 2, 2)
+	b.h.r.Expect = 4
+	b.h.settle(b.now)
+	b.want(Part, 2, 4)
+}
+
 func TestContact(t *testing.T) {
 	b := newBed(t, "b", "c", "d", "e")
 	b.speak = nil
--- a/internal/cuefile/schema.cue
+++ b/internal/cuefile/schema.cue
@@ -65,6 +65,8 @@
 	zone:       *"" | string & =~"^[^\\n]{0,64}$"
 	// Whom to join at the start and for ever after; the own address among them does no harm.
 	seeds: *[] | [...#Address]
+	// How many servers there are: less is not the whole fleet; 0 for not told.
+	expect: *0 | int & >=0 & <=4096
 	// A file with the base64 of 16, 24 or 32 bytes, the same on all servers: what they say is encrypted with it.
 	key_file?: string & !=""
 	// A Unix socket on which valvefleet status finds this server.
--- a/internal/fleet/extra.go
+++ b/internal/fleet/extra.go
@@ -34,7 +34,7 @@
 	x := p.Told.Op.File.Fleet
 	o := Options{
 		Name: p.Told.Name, Zone: x.Zone, Listen: x.Listen, Advertise: x.Advertise, Fleet: x.Name, Seeds: x.Seeds,
-		Version: p.Build, Settings: p.Told.Op.Hash[:min(12, len(p.Told.Op.Hash))], Log: p.Log,
+		Expect: x.Expect, Version: p.Build, Settings: p.Told.Op.Hash[:min(12, len(p.Told.Op.Hash))], Log: p.Log,
 		Phase: func() (Phase, float64) {
 			ramp, draining := p.Phase()
 			switch {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,6 +36,7 @@
 	Advertise string // IP and port where the others reach it; "" for Listen
 	Fleet     string // those of another fleet are not heard; "" for none
 	Seeds     []string
+	Expect    int    // servers that there are; 0 for not told
 	Key       []byte // 16, 24 or 32 bytes encrypt all that is said; nil for none
 	Version   string // of the program
 	Settings  string // hash of the operator's record
@@ -131,6 +132,7 @@
 	if o.rules == (hearing.Rules{}) {
 		o.rules = hearing.Usual
 	}
+	o.rules.Expect = o.Expect
 	if o.Phase == nil {
 		o.Phase = func() (Phase, float64) { return Warm, 1 }
 	}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -32,6 +32,7 @@
 	ForMs                         float64
 	Roster, Heard                 int
 	AtLeast, AtMost               int
+	Blind                         bool
 	Zones                         []hearing.Zone
 	Peers                         []PeerStatus
 	Twins                         []string `json:",omitempty"`
@@ -77,7 +78,7 @@
 	s := Status{
 		Name: f.o.Name, Zone: f.o.Zone, Version: f.o.Version, Settings: f.o.Settings, Start: f.self.Start,
 		Life: strconv.FormatUint(f.self.Life, 16), Phase: phase.String(), Ramp: ramp, Hears: v.State.String(),
-		Listening: v.Listening, ForMs: v.For, Roster: v.Roster, Heard: v.Heard, AtLeast: v.AtLeast, AtMost: v.AtMost,
+		Listening: v.Listening, ForMs: v.For, Roster: v.Roster, Heard: v.Heard, AtLeast: v.AtLeast, AtMost: v.AtMost, Blind: v.Blind,
 		Zones: v.Zones, Twins: append([]string(nil), f.twins...), Stalls: v.Stalls, Lost: f.lost, Changes: v.Changes,
 	}
 	if f.refused != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -97,6 +97,7 @@
 	Advertise string   `json:"advertise,omitempty"` // where others reach it, if not there
 	Zone      string   `json:"zone"`
 	Seeds     []string `json:"seeds"`
+	Expect    int      `json:"expect"`             // servers that there are; 0 for not told
 	KeyFile   string   `json:"key_file,omitempty"` // base64 of 16, 24 or 32 bytes
 	Socket    string   `json:"socket,omitempty"`   // for operators
 }
@@ -349,6 +350,7 @@
 				bad(fmt.Sprintf("fleet.seeds[%d]", i), "an IP address and a port expected, %.60q there", s)
 			}
 		}
+		within("fleet.expect", float64(x.Expect), 0, 4096)
 		if len(x.Zone) > 64 {
 			bad("fleet.zone", "at most 64 bytes expected")
 		}
--- a/internal/stand/bed/play.go
+++ b/internal/stand/bed/play.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -32,7 +34,12 @@
 		return nil
 	}
 	signal := func(s syscall.Signal) error {
-		return each(func(name string) error { return b.Procs.Signal(name, s) })
+		return each(func(name string) error {
+			if err := b.Procs.Signal(name, s); !errors.Is(err, os.ErrProcessDone) { // one that has ended can't be stopped or woken
+				return err
+			}
+			return nil
+		})
 	}
 	switch x.Act {
 	case "split":
@@ -56,7 +63,12 @@
 	case "kill":
 		return each(b.Procs.Kill)
 	case "start":
-		return each(b.Procs.Start)
+		return each(func(name string) error {
+			if b.Procs.Alive(name) {
+				return nil
+			}
+			return b.Procs.Start(name)
+		})
 	case "relay":
 		return each(b.Net.Restart)
 	default:
--- a/internal/stand/bed/procs.go
+++ b/internal/stand/bed/procs.go
@@ -131,10 +131,19 @@
 
 // Runs tells whether a name's process is there and not stopped.
 func (p *Procs) Runs(name string) bool {
+	p.mu.Lock()
+	x := p.all[name]
+	stopped := x != nil && x.stopped
+	p.mu.Unlock()
+	return !stopped && p.Alive(name)
+}
+
+// Alive tells whether a name's process is there, stopped or not.
+func (p *Procs) Alive(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x := p.all[name]
-	if x == nil || x.stopped {
+	if x == nil {
 		return false
 	}
 	select {
--- a/internal/stand/script/script.go
+++ b/internal/stand/script/script.go
@@ -4,6 +4,7 @@
 package script
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -97,7 +98,7 @@
 		}
 		s = append(s, x)
 	}
-	slices.SortStableFunc(s, func(a, b Step) int { return int(a.At - b.At) })
+	slices.SortStableFunc(s, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return s, nil
 }
 
@@ -129,7 +130,7 @@
 // Time is an argument as a time; Parse has seen that it is one.
 func (x Step) Time(i int) time.Duration { d, _ := time.ParseDuration(x.Args[i]); return d }
 
-// Random draws some troubles over a time, each ended within it: at its end all processes run and nothing is cut.
+// Random draws some troubles over a time, which may overlap; at its end all processes run and nothing is cut.
 func Random(seed int64, names []string, over time.Duration, troubles int) (s Script) {
 	chance := rand.New(rand.NewSource(seed))
 	some := func(least int) ([]string, []string) {
@@ -145,10 +146,9 @@
 		}
 		return a, rest
 	}
-	each := over / time.Duration(troubles)
-	for i := range troubles {
-		at := time.Duration(i) * each
-		end := at + each/2 + time.Duration(chance.Int63n(int64(each/2)))
+	for range troubles {
+		at := time.Duration(chance.Int63n(int64(over * 7 / 10)))
+		end := at + over/20 + time.Duration(chance.Int63n(int64(over-at-over/20)))
 		a, rest := some(1)
 		join := func(x []string) string { return strings.Join(x, ",") }
 		add := func(at time.Duration, act string, args ...string) {
@@ -181,7 +181,9 @@
 			add(at, "relay", join(a))
 		}
 	}
-	return append(s, Step{over, "heal", nil})
+	s = append(s, Step{over, "heal", nil}, Step{over, "cont", []string{"*"}}, Step{over, "start", []string{"*"}})
+	slices.SortStableFunc(s, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return s
 }
 
 // Shrink cuts a script that fails down to acts of which none can be left out, by halves first and then one by one. fails must
--- /dev/null
+++ b/internal/world/world_test.go
@@ -0,0 +1,215 @@
+package world
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sort"
+	"testing"
+	"time"
+
+	"sorrelvalve/choose/hearing"
+	"sorrelvalve/internal/stand/script"
+)
+
+func acts(t testing.TB, text string, n int) script.Script {
+	t.Helper()
+	s, err := script.Parse(text, Names(n))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func run(t testing.TB, o Options) *Result {
+	t.Helper()
+	r := New(o).Run()
+	for _, f := range r.Findings {
+		t.Errorf("%v", f)
+	}
+	return r
+}
+
+func TestQueueOrder(t *testing.T) {
+	var q queue
+	chance := rand.New(rand.NewPCG(1, 1))
+	var all []event
+	for i := range 5000 {
+		e := event{at: float64(chance.IntN(300)), a: int32(i)}
+		q.put(e)
+		e.seq = uint64(i + 1)
+		all = append(all, e)
+		if chance.IntN(3) == 0 {
+			sort.Slice(all, func(i, k int) bool { return all[i].before(&all[k]) })
+			if got := q.take(); got.a != all[0].a {
+				t.Fatalf("took %d, want %d", got.a, all[0].a)
+			}
+			all = all[1:]
+		}
+	}
+}
+
+// Calm: all hear all, every RPC comes to an end, most are served.
+func TestCalm(t *testing.T) {
+	r := run(t, Options{Servers: 8, Zones: 2, Seed: 1, Length: 40e3, Rate: 50, Cores: 2, Work: 20})
+	if r.Settled > 10e3 || r.Settled < 0 {
+		t.Errorf("settled after %g ms", r.Settled)
+	}
+	if r.OK < 9*r.Offered/10 || r.Offered < 10000 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Known troubles, each to its end.
+func TestKnownTroubles(t *testing.T) {
+	for name, text := range map[string]string{
+		"halves":                      "10s split n0,n1,n2,n3|n4,n5,n6,n7\n20s heal",
+		"heals as another begins":     "10s split n0,n1,n2,n3|n4,n5,n6,n7\n20s heal\n20s split n0,n4|n1,n2,n3,n5,n6,n7\n30s heal",
+		"a third stopped":             "10s stop n1,n4\n15s cont n1,n4",
+		"stopped over a split":        "10s stop n1\n11s split n0,n1|n2,n3,n4,n5,n6,n7\n16s cont n1\n25s heal",
+		"killed and back":             "10s kill n2\n10500ms start n2",
+		"all at once":                 "10s kill *\n11s start *",
+		"one way":                     "10s cut n3>*\n20s heal",
+		"loss, delay, mess":           "10s loss *>* 0.3\n10s delay *>* 150ms 150ms\n10s mess *>* 0.1\n20s heal",
+		"a clock 10% fast":            "0s rate n5 1.1\n10s kill n1\n20s start n1",
+		"clocks that step":            "10s jump n1 60s\n15s jump n2 -60s",
+		"drained and back":            "10s term n6\n20s start n6",
+		"drained while it is stopped": "10s term n6\n10s stop n6\n15s cont n6\n20s start n6",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := run(t, Options{Servers: 8, Zones: 2, Seed: 3, Length: 60e3, Rate: 30, Cores: 2, Work: 20, Cold: 2000, Script: acts(t, text, 8)})
+			for i, s := range r.LastState {
+				if s != hearing.Whole {
+					t.Errorf("server %d hears %s at the end", i, s)
+				}
+			}
+		})
+	}
+}
+
+// One seed is one run, whatever else the machine does; another seed is another.
+func TestSameEachTime(t *testing.T) {
+	o := Options{Servers: 12, Zones: 3, Seed: 5, Length: 40e3, Rate: 20, Cores: 2, Work: 30, Cold: 1000, Script: script.Random(5, Names(12), 20*time.Second, 4)}
+	digests := map[uint64]bool{}
+	for _, procs := range []int{1, runtime.NumCPU(), 2} {
+		was := runtime.GOMAXPROCS(procs)
+		digests[New(o).Run().Digest] = true
+		runtime.GOMAXPROCS(was)
+	}
+	if len(digests) != 1 {
+		t.Errorf("%d different runs of one seed", len(digests))
+	}
+	o.Seed++
+	if digests[New(o).Run().Digest] {
+		t.Error("another seed gives the same run")
+	}
+}
+
+// random is a run of the random schedules: 20 servers, troubles over half a minute.
+func random(seed int64, p plant) (Options, script.Script) {
+	n := 20
+	s := script.Random(seed, Names(n), 30*time.Second, 4)
+	return Options{Servers: n, Zones: 3, Seed: uint64(seed), Length: 55e3, Rate: 5, Cores: 2, Work: 20, Cold: 1000, Script: s, plant: p}, s
+}
+
+func TestRandomSchedules(t *testing.T) {
+	seeds := int64(24)
+	if testing.Short() {
+		seeds = 4
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			o, s := random(seed, sound)
+			if r := New(o).Run(); len(r.Findings) > 0 {
+				t.Errorf("%v\nvalvelab run fleet-sim --seeds %d..%d\n%s", r.Findings, seed, seed, s)
+			}
+		})
+	}
+}
+
+// Faults planted in the servers are found by random schedules within some seeds, and cut down to a few acts.
+func TestPlantedFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		plant   plant
+		checker string
+	}{
+		"a server that wakes goes by its old knowledge": {wakeTrusts, "judgement"},
+		"silence is taken for departure":                {silenceLeaves, "bounds"},
+		"who was lost once is never heard again":        {deafAfterLoss, "views"},
+		"answers come twice":                            {answersTwice, "rules"},
+		"a purchase runs twice":                         {runsTwice, "rules"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const within = 60 // seeds
+			for seed := int64(100); seed < 100+within; seed++ {
+				o, s := random(seed, c.plant)
+				fails := func(s script.Script) bool {
+					o.Script = s
+					for _, f := range New(o).Run().Findings {
+						if f.Checker == c.checker {
+							return true
+						}
+					}
+					return false
+				}
+				if !fails(s) {
+					continue
+				}
+				if less := script.Shrink(s, fails); len(less) > 5 {
+					t.Errorf("seed %d: cut down to %d acts only:\n%s", seed, len(less), less)
+				} else {
+					t.Logf("seed %d, %d acts of %d:\n%s", seed, len(less), len(s), less)
+				}
+				return
+			}
+			t.Errorf("not found within %d seeds", within)
+		})
+	}
+}
+
+type plainHeap []event
+
+func (h plainHeap) Len() int           { return len(h) }
+func (h plainHeap) Less(i, k int) bool { return h[i].before(&h[k]) }
+func (h plainHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
+func (h *plainHeap) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *plainHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// BenchmarkQueue holds 100,000 events, takes the first and puts another, as a run does.
+func BenchmarkQueue(b *testing.B) {
+	const held = 100000
+	chance := rand.New(rand.NewPCG(1, 1))
+	b.Run("own", func(b *testing.B) {
+		var q queue
+		for range held {
+			q.put(event{at: chance.Float64()})
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			e := q.take()
+			e.at += chance.Float64()
+			q.put(e)
+		}
+	})
+	b.Run("container/heap", func(b *testing.B) {
+		var h plainHeap
+		for i := range held {
+			heap.Push(&h, event{at: chance.Float64(), seq: uint64(i)})
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			e := heap.Pop(&h).(event)
+			e.at += chance.Float64()
+			heap.Push(&h, e)
+		}
+	})
+}
