Who hears nobody joins everybody; the simulator spreads pulses; fleet-sim, growth and twin

Seed 389: a server was alone for 20 s after the last heal. Its detector took most others for alive, since it asks the more rarely the less it is answered, while they had called it dead and asked it no more; joining looked only at those that its detector had lost. Seed 156: a server that woke from a stall met seeds that had woken, too, and never joined the rest of its roster, since the model joined seeds and the lost only. Change: hearing.Misses: alone, everybody on the roster is to be joined; fleet keeps where each name was last found, for names of which no record has come. The model had no pulses, so that eight servers with strained detectors could be silent for 2 s: it spreads them now.

--- a/choose/hearing/hearing.go
+++ b/choose/hearing/hearing.go
@@ -426,11 +426,22 @@
 	return h.state
 }
 
-// View tells what is heard now.
-func (h *Hearing) View(now float64) View {
+// Ends is View without its zones, at the cost of a tick.
+func (h *Hearing) Ends(now float64) View {
 	h.settle(now)
 	v := View{State: h.state, Listening: h.Listening(now), For: now - h.since, Stalls: h.stalls, Changes: h.changed}
 	v.Roster, v.Heard = h.census(now)
+	if h.state == Alone {
+		v.Heard = 1
+	}
+	v.AtLeast, v.AtMost = v.Heard, max(v.Roster, h.r.Expect)
+	v.Blind = !h.met && h.r.Expect == 0
+	return v
+}
+
+// View tells what is heard now.
+func (h *Hearing) View(now float64) View {
+	v := h.Ends(now)
 	zones := map[string]*Zone{h.zone: {h.zone, 1, 1}}
 	for _, p := range h.order {
 		if p.away != Here {
@@ -450,11 +461,6 @@
 		v.Zones = append(v.Zones, *z)
 	}
 	slices.SortFunc(v.Zones, func(a, b Zone) int { return cmp.Compare(a.Name, b.Name) })
-	if h.state == Alone {
-		v.Heard = 1
-	}
-	v.AtLeast, v.AtMost = v.Heard, max(v.Roster, h.r.Expect)
-	v.Blind = !h.met && h.r.Expect == 0
 	return v
 }
 
@@ -505,10 +511,20 @@
 // Names is how many are remembered, those away included.
 func (h *Hearing) Names() int { return len(h.order) }
 
-// Silent are the names on the roster that the detector does not find: whom to try to join again.
+// Misses tells whether a name is to be joined again: it is on the roster, and the detector does not find it. Who hears
+// nobody joins everybody: its detector may still take all for alive, since it asks the more rarely the less it is answered,
+// while all others have called this server dead and do not ask it any more.
+func (h *Hearing) Misses(name string) bool {
+	p, has := h.peers[name]
+	return has && h.misses(p)
+}
+
+func (h *Hearing) misses(p *peer) bool { return p.away == Here && (!p.alive || h.state == Alone) }
+
+// Silent are the names of which Misses is true.
 func (h *Hearing) Silent() (names []string) {
 	for _, p := range h.order {
-		if !p.alive && p.away == Here {
+		if h.misses(p) {
 			names = append(names, p.name)
 		}
 	}
--- a/choose/hearing/hearing_test.go
+++ b/choose/hearing/hearing_test.go
@@ -67,6 +67,10 @@
 	if p := b.h.Peers(b.now)[0]; p.Losses != 0 {
 		t.Error("a server that hears nothing holds losses against its peers")
 	}
+	b.h.Alive(b.now, "x") // the detector takes it for alive, and not a word comes: who hears nobody joins everybody
+	if got := b.h.Silent(); !slices.Equal(got, []string{"b", "x", "y"}) {
+		t.Errorf("alone, and joins %v", got)
+	}
 	b.h.Leaves(b.now, "y", 1, Left)
 	b.want(Alone, 1, 3)
 	b.h.Known(b.now, "y", "b", 1, 7) // an old record does not bring it back
--- a/cmd/valvelab/main.go
+++ b/cmd/valvelab/main.go
@@ -24,6 +24,7 @@
 	{"durable-cost", "what the durable store costs: off, on, on a slow disk", lab.DurableCost},
 	{"embedded", "a gin program at 150% of its cores: bare, behind a semaphore, behind the valve", lab.Embedded},
 	{"fleet-hearing", "eight real processes that know one another, behind relays: killed, cut, stopped, healed", lab.Hearing},
+	{"fleet-sim", "simulated fleets under random faults, how they grow, and a twin of real processes", lab.FleetSim},
 	{"pools", "five uwsgi members of which one turns bad and recovers, beside round robin without ejection", lab.Pools},
 }
 
@@ -67,10 +68,13 @@
 func (c nodeCmd) Run() error { return lab.Node(c.Dir, c.Engine, c.RPC, c.Web) }
 
 type runCmd struct {
-	Name  string `arg:"" help:"Its name, as list tells it."`
-	Quick bool   `help:"In a short form, within 45 s."`
-	Seed  int64  `default:"1" help:"Of all chance in the load."`
-	Out   string `type:"path" help:"A folder for the table as CSV and the charts as SVG."`
+	Name     string `arg:"" help:"Its name, as list tells it."`
+	Quick    bool   `help:"In a short form, within 45 s."`
+	Seed     int64  `default:"1" help:"Of all chance in the load."`
+	Servers  int    `placeholder:"N" help:"Of a simulated fleet."`
+	Schedule string `type:"existingfile" help:"Faults, in CUE or as lines, for fleet-sim."`
+	Seeds    string `placeholder:"A..B" help:"Random schedules of these seeds, for fleet-sim."`
+	Out      string `type:"path" help:"A folder for the table as CSV and the charts as SVG."`
 }
 
 func (c *runCmd) Run() error {
@@ -78,7 +82,7 @@
 		if e.name != c.Name {
 			continue
 		}
-		o := lab.Options{Quick: c.Quick, Seed: c.Seed, Dir: c.Out, Out: os.Stdout}
+		o := lab.Options{Quick: c.Quick, Seed: c.Seed, Dir: c.Out, Out: os.Stdout, Servers: c.Servers, Schedule: c.Schedule, Seeds: c.Seeds}
 		r, err := e.run(o)
 		if err != nil {
 			return err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,6 +97,7 @@
 	seq      map[string]uint64
 	said     map[string][]byte // own records' bodies
 	byAddr   map[string]string // names by the address that the detector has
+	addrs    map[string]string // where each name was last found, kept over a new detector
 	inst     *instance
 	contact  time.Time // first of this life; zero for none yet
 	twins    []string
@@ -145,7 +146,7 @@
 	f := &Fleet{
 		o: o, now: o.now, origin: o.now(), cancel: make(chan struct{}), over: make(chan struct{}),
 		joins: make(chan struct{}, joinsMost), table: spread.NewTable(spread.Usual), seq: map[string]uint64{},
-		said: map[string][]byte{}, byAddr: map[string]string{},
+		said: map[string][]byte{}, byAddr: map[string]string{}, addrs: map[string]string{},
 	}
 	f.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: retransmits, NumNodes: func() int { return int(f.size.Load()) }}
 	f.size.Store(1)
@@ -360,11 +361,15 @@
 	f.mu.Lock()
 	var to []string
 	for _, name := range f.hear.Silent() {
+		addr := f.addrs[name]
 		if r, _, has := f.table.Get(f.ms(now), name, keyServer); has {
-			if s, ok := parseServer(r.Body); ok && s.Addr != "" && s.Addr != f.o.Advertise {
-				to = append(to, s.Addr)
+			if s, ok := parseServer(r.Body); ok && s.Addr != "" {
+				addr = s.Addr
 			}
 		}
+		if addr != "" && addr != f.o.Advertise {
+			to = append(to, addr)
+		}
 	}
 	for _, s := range f.o.Seeds {
 		if _, heard := f.byAddr[s]; !heard && s != f.o.Advertise && s != f.o.Listen && !slices.Contains(to, s) {
@@ -440,6 +445,9 @@
 		f.contact = now
 	}
 	f.byAddr[n.Address()] = n.Name
+	if len(f.addrs) < f.o.rules.Peers || f.addrs[n.Name] != "" {
+		f.addrs[n.Name] = n.Address()
+	}
 	start, life := lifeOf(n.Meta)
 	f.hear.Known(f.ms(now), n.Name, "", start, life)
 	f.hear.Alive(f.ms(now), n.Name)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -23,6 +23,10 @@
 	Seed  int64
 	Dir   string // for the table and the chart; "" for none
 	Out   io.Writer
+
+	Servers  int    // of a simulated fleet; 0 for the experiment's own
+	Schedule string // a file of faults; "" for none
+	Seeds    string // A..B; "" for the experiment's own
 }
 
 // Report is what an experiment found.
--- a/internal/stand/script/script.go
+++ b/internal/stand/script/script.go
@@ -98,8 +98,13 @@
 		}
 		s = append(s, x)
 	}
+	return s.Sorted(), nil
+}
+
+// Sorted puts the steps in the order of their times; of one time, they stay in theirs.
+func (s Script) Sorted() Script {
 	slices.SortStableFunc(s, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
-	return s, nil
+	return s
 }
 
 // Names is the list in an argument; nil for *, everybody.
@@ -181,13 +186,16 @@
 			add(at, "relay", join(a))
 		}
 	}
-	s = append(s, Step{over, "heal", nil}, Step{over, "cont", []string{"*"}}, Step{over, "start", []string{"*"}})
-	slices.SortStableFunc(s, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
-	return s
+	return s.Closed(over)
+}
+
+// Closed is the script with an end of all troubles at a time: nothing is cut, and all run.
+func (s Script) Closed(at time.Duration) Script {
+	return append(s.Sorted(), Step{at, "heal", nil}, Step{at, "cont", []string{"*"}}, Step{at, "start", []string{"*"}})
 }
 
 // Shrink cuts a script that fails down to acts of which none can be left out, by halves first and then one by one. fails must
-// tell the same each time.
+// tell the same each time, and close what is left of a script if troubles without an end would fail by themselves.
 func Shrink(s Script, fails func(Script) bool) Script {
 	for size := max(1, len(s)/2); ; {
 		cut := false
--- a/internal/world/queue.go
+++ b/internal/world/queue.go
@@ -14,6 +14,7 @@
 	evProbeLate             // a: the peer, b: the probe's number; no answer has come yet
 	evProbeOver             // a, b as above
 	evSuspect               // a: the peer, b: the incarnation
+	evPulse                 // the own record is said anew
 	evGossip                //
 	evExchange              // the detector's exchange of states with somebody
 	evJoin                  // a: whom
