A server that hears nobody begins its detector anew; flapping is told from faults of their own

Change: fleet's loop begins memberlist anew once not a word has come for 1.8 s, as after a stall (hearing.Deaf); the penalty of a loss halves in 10 s instead of 30.

--- a/choose/hearing/hearing.go
+++ b/choose/hearing/hearing.go
@@ -33,10 +33,11 @@
 const directEach = 1000.0
 
 // Flapping: each loss adds one to a penalty that halves in flapHalf; from flapFrom on a peer must be heard so many times
-// longer until it counts, longestSettle at the most. Two losses within a minute are an accident, three are a habit.
+// longer until it counts, longestSettle at the most. Losses ten seconds apart, each a fault of its own, never come to two;
+// at five seconds the fifth is over the bound, at three the third.
 const (
-	flapHalf      = 30e3
-	flapFrom      = 1.5
+	flapHalf      = 10e3
+	flapFrom      = 2.3
 	longestSettle = 30e3
 )
 
@@ -426,6 +427,9 @@
 	return h.state
 }
 
+// Deaf tells whether not a word has come for Quiet, from anybody, though the server has listened.
+func (h *Hearing) Deaf(now float64) bool { return !h.Listening(now) && now-h.word >= h.r.Quiet }
+
 // Ends is View without its zones, at the cost of a tick.
 func (h *Hearing) Ends(now float64) View {
 	h.settle(now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -264,10 +264,13 @@
 		f.mu.Lock()
 		stalled := f.hear.Tick(f.ms(now), f.wall()) || muted
 		refused := f.refused != nil
+		// Who hears nobody has a detector full of suspicions that nobody can refute; kept until the cut heals, they would
+		// call sound peers dead.
+		deaf := !stalled && len(f.byAddr) > 0 && f.hear.Deaf(f.ms(now))
 		f.mu.Unlock()
-		if stalled && !refused {
+		if (stalled || deaf) && !refused {
 			f.muted.Store(true)
-			f.anew()
+			f.anew(stalled)
 			nextJoin = f.now()
 			continue
 		}
@@ -291,8 +294,8 @@
 	return pulseEvery * time.Duration(max(1, len(f.byAddr)/pulseRoster))
 }
 
-// anew ends the detector and all that it knew, and begins another.
-func (f *Fleet) anew() {
+// anew ends the detector and all that it knew, and begins another: the server had stalled, or hears nobody.
+func (f *Fleet) anew(stalled bool) {
 	f.mu.Lock()
 	old := f.inst
 	f.inst = nil
@@ -310,7 +313,11 @@
 		f.o.Log.WithError(err).Error("fleet: the detector can't begin anew")
 		return
 	}
-	f.o.Log.WithField("times", f.restarts).Warn("fleet: this server had stalled, it listens before it says anything of others")
+	if stalled {
+		f.o.Log.WithField("times", f.restarts).Warn("fleet: this server had stalled, it listens before it says anything of others")
+	} else {
+		f.o.Log.WithField("times", f.restarts).Warn("fleet: nobody is heard, this server joins all that it knows again")
+	}
 }
 
 // pulse says the own record anew. The lock is held.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -286,6 +286,11 @@
 		return
 	}
 	s.ticked = now
+	if s.det.there > 0 && s.hear.Deaf(now) { // as internal/fleet: it hears nobody
+		s.hear.Void(now)
+		w.freshDetector(s)
+		s.det.target, s.joinAt = -1, now
+	}
 	if now >= s.joinAt {
 		s.joinAt = now + joinMs*(0.75+0.5*s.chance.Float64())
 		if s.hear.State(now) != hearing.Whole {
