--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -681,7 +681,7 @@
 		return fmt.Errorf("%q is no other server of the fleet that is known here", name)
 	}
 	for _, p := range f.hear.Peers(f.ms(f.now())) {
-		if p.Name == name && p.Alive {
+		if p.Name == name && p.Heard {
 			return fmt.Errorf("%s is heard: it is not gone", name)
 		}
 	}
