--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sorrelvalve/internal/operator"
+)
+
+func record(t *testing.T, f *operator.File) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "operator.record")
+	b, err := operator.Append(f)
+	if err == nil {
+		err = os.WriteFile(path, b, 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// A record with a fleet is refused by name where the command has none.
+func TestFleetRefused(t *testing.T) {
+	r := record(t, &operator.File{Version: "t", Fleet: &operator.Fleet{Listen: "127.0.0.1:7946"}})
+	err := Command{StandIn: true, Operator: r}.Run(nil)
+	if err == nil || !strings.Contains(err.Error(), "fleet") || !strings.Contains(err.Error(), "valvefleet serve") {
+		t.Errorf("a fleet without valvefleet: %v", err)
+	}
+}
+
+// The stand-in engine and an operator's record work together: uwsgi before the stand-in.
+func TestStandInWithRecord(t *testing.T) {
+	ln := listen(t)
+	addr := ln.Addr().String()
+	ln.Close()
+	u := &operator.UWSGI{Listen: addr, Keep: "asked", BlockBytes: 16384, Variables: 128, PathBytes: 4096, BodyBytes: 65536, BodiesKB: 8192, SilenceMs: 2000, BodyMs: 5000, HeldKB: 16}
+	r := record(t, &operator.File{Version: "t", UWSGI: u, Routes: map[string]operator.Route{"view": {Path: "/view", Verb: "GET", Method: "account-view", Type: "text/plain"}}})
+	over := make(chan error, 1)
+	go func() { over <- Command{StandIn: true, Operator: r}.Run(nil) }()
+	for end := time.Now().Add(soon); ; time.Sleep(10 * time.Millisecond) {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the front does not listen: %v", err)
+		}
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM) // which Run has asked to be told of
+	select {
+	case err := <-over:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(soon):
+		t.Fatal("it does not end")
+	}
+}
