choose/share: parts of a fleet's bound, owned by each server and lent for a time

Need: a customer's quota and a service's retries hold for the fleet while each server sees its part; the sum must never pass the bound, whoever hears nothing, crashes or stalls. Change: a pure module: each of the servers that an operator counts owns an equal part, keeps a floor, lends the rest. A lender books a loan before it tells of it and for longer than its borrower uses it, which counts from its own ask; a restarted server has its floor until nothing that it may have lent can last; a loan in use is renewed where it is. Rates with a burst, and stocks, which take from a loan only what is held no longer than it lasts.

--- /dev/null
+++ b/choose/share/share_test.go
@@ -0,0 +1,289 @@
+package share
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"sort"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// fleet is some shares on a true clock, each with its own, and messages on their way between them.
+type fleet struct {
+	r      Rules
+	at     float64 // true ms
+	all    []*Share
+	rate   []float64 // of each clock
+	base   []float64
+	lives  uint64
+	way    []sent
+	taken  []float64 // true times at which one was taken
+	held   [][]float64
+	chance *rand.Rand
+}
+
+type sent struct {
+	from, to int
+	m        Message
+	due      float64
+}
+
+func newFleet(r Rules, n int, seed int64) *fleet {
+	f := &fleet{r: r, chance: rand.New(rand.NewSource(seed))}
+	for i := range n {
+		f.rate = append(f.rate, 1+r.Drift*0.999*(2*f.chance.Float64()-1))
+		f.base = append(f.base, 1e6*f.chance.Float64())
+		f.all = append(f.all, nil)
+		f.held = append(f.held, nil)
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleet) now(i int) float64 { return f.base[i] + f.at*f.rate[i] }
+
+func (f *fleet) start(i int) {
+	f.lives++
+	f.all[i] = New(f.r, f.lives, int64(f.lives), f.now(i))
+}
+
+func name(i int) string { return fmt.Sprint("n", i) }
+
+func (f *fleet) send(from int, all []Message, delay float64) {
+	for _, m := range all {
+		var to int
+		fmt.Sscanf(m.To, "n%d", &to)
+		f.way = append(f.way, sent{from, to, m, f.at + delay})
+	}
+}
+
+// sums tells what all may use at this moment, the time of a loan's end included on both sides.
+func (f *fleet) check(t interface{ Fatalf(string, ...any) }) {
+	sum := 0.0
+	for i, s := range f.all {
+		st := s.State(f.now(i))
+		if math.Abs(st.Own-st.Lent+st.Borrowed-st.Part) > 1e-6 && st.Part > 0 {
+			t.Fatalf("%s: own %g - lent %g + borrowed %g is not its part %g", name(i), st.Own, st.Lent, st.Borrowed, st.Part)
+		}
+		if st.Part < f.r.Floor-1e-9 {
+			t.Fatalf("%s: a part of %g, under its floor %g", name(i), st.Part, f.r.Floor)
+		}
+		sum += st.Part
+	}
+	if sum > f.r.Bound*(1+1e-9) {
+		t.Fatalf("at %g ms the parts sum to %g of %g", f.at, sum, f.r.Bound)
+	}
+}
+
+// Whatever messages are lost, late or doubled, whoever crashes, stalls or starts anew, with clocks off by the stated drift: parts
+// sum to the bound at most, nobody is under its floor, and what is taken in any window stays within bound and burst.
+func TestBoundHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(t, "servers")
+		r := Rules{Kind: Rate, Bound: 100, Burst: 20, Servers: n, Floor: 100 / float64(n) * rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "floor"),
+			Longest: 1000, Drift: rapid.SampledFrom([]float64{0, 1e-3, 0.05}).Draw(t, "drift")}
+		f := newFleet(r, n, rapid.Int64Range(0, 1<<20).Draw(t, "seed"))
+		stopped := make([]bool, n)
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(t, "who")
+			switch act := rapid.IntRange(0, 19).Draw(t, "act"); {
+			case act < 8 && !stopped[i]: // load, often at one
+				for range rapid.IntRange(1, 10).Draw(t, "load") {
+					if f.all[i].Take(f.now(i), 1, 1, 0) {
+						f.taken = append(f.taken, f.at)
+					}
+				}
+			case act < 11 && !stopped[i]:
+				f.send(i, f.all[i].Tick(f.now(i)), rapid.SampledFrom([]float64{1, 5, 300, 2000}).Draw(t, "delay"))
+			case act < 14 && !stopped[i]:
+				for k := range f.all {
+					if k != i && !stopped[k] {
+						f.all[i].Told(f.now(i), name(k), f.all[k].Spare(f.now(k)))
+					}
+				}
+			case act < 17:
+				for range min(3, len(f.way)) { // some message arrives: perhaps twice, out of order
+					k := rapid.IntRange(0, len(f.way)-1).Draw(t, "message")
+					x := f.way[k]
+					if x.due > f.at || stopped[x.to] {
+						continue
+					}
+					if rapid.IntRange(0, 3).Draw(t, "again") > 0 {
+						f.way = append(f.way[:k], f.way[k+1:]...)
+					}
+					f.send(x.to, f.all[x.to].Receive(f.now(x.to), name(x.from), x.m), 1)
+					if len(f.way) == 0 {
+						break
+					}
+				}
+			case act == 17:
+				f.start(i) // killed, and back at once
+				stopped[i] = false
+			case act == 18:
+				stopped[i] = !stopped[i]
+			}
+			f.at += rapid.SampledFrom([]float64{0, 1, 10, 50, 200, 900}).Draw(t, "dt")
+			f.check(t)
+		}
+		f.window(t)
+	})
+}
+
+// window checks any window of what was taken, starting at each take.
+func (f *fleet) window(t interface{ Fatalf(string, ...any) }) {
+	sort.Float64s(f.taken)
+	for i := range f.taken {
+		for k := i; k < len(f.taken) && f.taken[k]-f.taken[i] <= 3000; k++ {
+			if n, w := float64(k-i+1), f.taken[k]-f.taken[i]; n > f.r.Bound*w/1000+f.r.Burst+1e-6 {
+				t.Fatalf("%g taken within %g ms, of %g a second and %g", n, w, f.r.Bound, f.r.Burst)
+			}
+		}
+	}
+}
+
+// run lets a fleet work with contact: each ms, each asks for what load says; messages take 5 ms.
+func (f *fleet) run(ms int, load func(i int) float64, served []float64) {
+	for range ms {
+		f.at++
+		for i, s := range f.all {
+			for x := load(i) / 1000; x > 0; x-- {
+				if x < 1 && f.chance.Float64() >= x {
+					break
+				}
+				if s.Take(f.now(i), 1, 1, 0) {
+					served[i]++
+					f.taken = append(f.taken, f.at)
+				}
+			}
+			if int(f.at)%50 == i%50 {
+				f.send(i, s.Tick(f.now(i)), 5)
+			}
+			if int(f.at)%200 == (i*7)%200 {
+				for k := range f.all {
+					if k != i {
+						f.all[k].Told(f.now(k), name(i), s.Spare(f.now(i)))
+					}
+				}
+			}
+		}
+		keep := f.way[:0]
+		due := []sent{}
+		for _, x := range f.way {
+			if x.due <= f.at {
+				due = append(due, x)
+			} else {
+				keep = append(keep, x)
+			}
+		}
+		f.way = keep
+		for _, x := range due {
+			f.send(x.to, f.all[x.to].Receive(f.now(x.to), name(x.from), x.m), 5)
+		}
+	}
+}
+
+// A customer whose callers stick to one server gets nearly all of what is theirs, also after they have moved; what is lent comes
+// back; at rest nothing is said.
+func TestSkewedNeed(t *testing.T) {
+	r := Rules{Kind: Rate, Bound: 400, Burst: 40, Servers: 8, Floor: 5, Longest: UsualLongest, Drift: UsualDrift}
+	f := newFleet(r, 8, 1)
+	f.at += 2 * r.Longest // what a former life may have lent is back
+	for turn, hot := range []int{3, 6} {
+		served := make([]float64, 8)
+		f.run(2000, func(i int) float64 { return map[bool]float64{true: 500}[i == hot] }, served)
+		clear(served)
+		f.run(4000, func(i int) float64 { return map[bool]float64{true: 500}[i == hot] }, served)
+		most := r.Bound - 7*r.Floor // the others keep their floors
+		if share := served[hot] / 4 / most; share < 0.95 {
+			t.Errorf("turn %d: the hot server serves %.2f of what it can", turn, share)
+		}
+	}
+	f.run(4000, func(int) float64 { return 0 }, make([]float64, 8))
+	for i, s := range f.all {
+		if st := s.State(f.now(i)); st.Lent != 0 || st.Borrowed != 0 {
+			t.Errorf("%s at rest: %+v", name(i), st)
+		}
+		before := s.Counts.Asked
+		f.run(500, func(int) float64 { return 0 }, make([]float64, 8))
+		if s.Counts.Asked != before {
+			t.Errorf("%s asks though nothing is needed", name(i))
+		}
+	}
+	f.window(t)
+}
+
+// Cut off: the floor and what is not lent; the first RPC after a stop for longer than a loan does not use it.
+func TestCutOffAndStopped(t *testing.T) {
+	r := Rules{Kind: Rate, Bound: 100, Burst: 10, Servers: 2, Floor: 10, Longest: 1000, Drift: 1e-3}
+	f := newFleet(r, 2, 2)
+	f.at += 3000
+	f.run(3000, func(i int) float64 { return map[bool]float64{true: 200}[i == 0] }, make([]float64, 2))
+	borrowed := f.all[0].State(f.now(0))
+	if borrowed.Part < 70 {
+		t.Fatalf("it borrowed little: %+v", borrowed)
+	}
+	f.way = nil // cut
+	f.at += 1500
+	if st := f.all[0].State(f.now(0)); st.Part != 50 || st.Borrowed != 0 {
+		t.Errorf("after the loan's end: %+v", st)
+	}
+	f.at += 1500
+	if st := f.all[1].State(f.now(1)); st.Part != 50 {
+		t.Errorf("the lender: %+v", st)
+	}
+	f.start(1) // killed and back: it can't know what it lent
+	if st := f.all[1].State(f.now(1)); st.Part != r.Floor {
+		t.Errorf("after a restart: %+v", st)
+	}
+}
+
+// A stock's loans are not used by what may be held past their end.
+func TestStock(t *testing.T) {
+	r := Rules{Kind: Stock, Bound: 20, Servers: 2, Floor: 2, Longest: 1000, Drift: 0}
+	a, b := New(r, 1, 1, 0), New(r, 2, 2, 0)
+	now := 2000.0
+	for range 10 {
+		if !a.Take(now, 1, 1, 500) {
+			t.Fatal("its own part")
+		}
+	}
+	if a.Take(now, 1, 1, 500) {
+		t.Error("more than its part")
+	}
+	for range 20 {
+		a.Take(now, 1, 1, 500)
+	}
+	a.Told(now, "b", b.Spare(now))
+	asks := a.Tick(now)
+	if len(asks) != 1 || asks[0].Kind != Ask {
+		t.Fatalf("%+v", asks)
+	}
+	grant := b.Receive(now, "a", asks[0])
+	again := b.Receive(now, "a", asks[0])
+	if grant[0] != again[0] || len(b.lent) != 1 {
+		t.Errorf("the same ask got a second part: %+v %+v", grant, again)
+	}
+	a.Receive(now+10, "b", grant[0])
+	a.Receive(now+20, "b", grant[0])
+	if st := a.State(now + 20); st.Borrowed != grant[0].Amount {
+		t.Errorf("a grant that came twice: %+v", st)
+	}
+	if !a.Take(now+20, 1, 1, 500) {
+		t.Error("the loan lasts long enough")
+	}
+	if a.Take(now+600, 1, 1, 500) {
+		t.Error("it could be held past the loan's end")
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	s := New(Rules{Kind: Rate, Bound: 1e9, Burst: 1e9, Servers: 1, Longest: 1000, Drift: 1e-3}, 1, 1, 0)
+	now := 5000.0
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 0.01
+		s.Take(now, 1, 1, 0)
+	}
+}
