choose/share's property test makes loans enough to show something, and fails if it saw none

Seen: 11 loans in 100 random runs, none renewed: the first generator loaded every server over its part, so that nothing was free. Change: load mostly at one server, messages that mostly arrive, faults now and then; the test fails without loans, late answers and renewals.

--- a/choose/share/share.go
+++ b/choose/share/share.go
@@ -78,14 +78,15 @@
 
 // loan is a part that has changed hands.
 type loan struct {
-	peer   string
-	number uint64
-	life   uint64 // of the borrower
-	amount float64
-	ends   float64 // own ms: until then it is used, or counts as lent
-	began  float64
-	asking bool // borrowed: to renew it
-	denied bool // borrowed: it will end
+	peer    string
+	number  uint64
+	life    uint64 // of the borrower
+	amount  float64
+	ends    float64 // own ms: until then it is used, or counts as lent
+	began   float64
+	asking  bool // borrowed: to renew it
+	denied  bool // borrowed: it will end
+	renewed bool // borrowed, and asked for again in time
 }
 
 type asked struct {
@@ -488,7 +489,7 @@
 				l.asking, l.denied = false, true
 				return
 			}
-			l.number, l.ends, l.asking = m.Number, ends, false
+			l.number, l.ends, l.asking, l.renewed = m.Number, ends, false, true
 			s.Counts.Borrowed++
 			return
 		}
--- a/choose/share/share_test.go
+++ b/choose/share/share_test.go
@@ -80,54 +80,87 @@
 // Whatever messages are lost, late or doubled, whoever crashes, stalls or starts anew, with clocks off by the stated drift: parts
 // sum to the bound at most, nobody is under its floor, and what is taken in any window stays within bound and burst.
 func TestBoundHolds(t *testing.T) {
+	var borrowed, late, renewed uint64
+	defer func() {
+		if borrowed == 0 || late == 0 || renewed == 0 {
+			t.Errorf("%d loans, %d answers that came late, %d renewals: the runs show nothing", borrowed, late, renewed)
+		}
+	}()
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 6).Draw(t, "servers")
 		r := Rules{Kind: Rate, Bound: 100, Burst: 20, Servers: n, Floor: 100 / float64(n) * rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "floor"),
 			Longest: 1000, Drift: rapid.SampledFrom([]float64{0, 1e-3, 0.05}).Draw(t, "drift")}
 		f := newFleet(r, n, rapid.Int64Range(0, 1<<20).Draw(t, "seed"))
 		stopped := make([]bool, n)
+		if rapid.Bool().Draw(t, "old") {
+			f.at += 3 * r.Longest
+		}
+		hot, bad := 0, 0.0
 		for range rapid.IntRange(50, 300).Draw(t, "steps") {
-			i := rapid.IntRange(0, n-1).Draw(t, "who")
-			switch act := rapid.IntRange(0, 19).Draw(t, "act"); {
-			case act < 8 && !stopped[i]: // load, often at one
-				for range rapid.IntRange(1, 10).Draw(t, "load") {
-					if f.all[i].Take(f.now(i), 1, 1, 0) {
+			switch rapid.IntRange(0, 39).Draw(t, "fault") {
+			case 0:
+				f.start(rapid.IntRange(0, n-1).Draw(t, "killed")) // and back at once
+			case 1, 2:
+				i := rapid.IntRange(0, n-1).Draw(t, "stopped")
+				stopped[i] = !stopped[i]
+			case 3:
+				bad = rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(t, "loss")
+			case 4:
+				hot = rapid.IntRange(0, n-1).Draw(t, "hot")
+			case 5:
+				f.at += rapid.SampledFrom([]float64{200, 900, 2500}).Draw(t, "pause")
+			}
+			for i, s := range f.all {
+				if stopped[i] {
+					continue
+				}
+				load := 0
+				if i == hot {
+					load = 10
+				} else if f.chance.Float64() < 0.1 {
+					load = 1
+				}
+				for range load {
+					if s.Take(f.now(i), 1, 1, 0) {
 						f.taken = append(f.taken, f.at)
 					}
 				}
-			case act < 11 && !stopped[i]:
-				f.send(i, f.all[i].Tick(f.now(i)), rapid.SampledFrom([]float64{1, 5, 300, 2000}).Draw(t, "delay"))
-			case act < 14 && !stopped[i]:
 				for k := range f.all {
-					if k != i && !stopped[k] {
-						f.all[i].Told(f.now(i), name(k), f.all[k].Spare(f.now(k)))
+					if k != i && bad < 1 {
+						f.all[k].Told(f.now(k), name(i), s.Spare(f.now(i)))
 					}
 				}
-			case act < 17:
-				for range min(3, len(f.way)) { // some message arrives: perhaps twice, out of order
-					k := rapid.IntRange(0, len(f.way)-1).Draw(t, "message")
-					x := f.way[k]
-					if x.due > f.at || stopped[x.to] {
-						continue
-					}
-					if rapid.IntRange(0, 3).Draw(t, "again") > 0 {
-						f.way = append(f.way[:k], f.way[k+1:]...)
-					}
+				f.send(i, s.Tick(f.now(i)), rapid.SampledFrom([]float64{1, 1, 1, 40, 700, 2000}).Draw(t, "delay"))
+			}
+			way := f.way // what is due arrives, in any order; some not, some twice, some much later
+			f.way = nil
+			f.chance.Shuffle(len(way), func(i, k int) { way[i], way[k] = way[k], way[i] })
+			for _, x := range way {
+				switch {
+				case x.due > f.at || stopped[x.to]:
+					f.way = append(f.way, x)
+				case f.chance.Float64() >= bad:
 					f.send(x.to, f.all[x.to].Receive(f.now(x.to), name(x.from), x.m), 1)
-					if len(f.way) == 0 {
-						break
+					if f.chance.Float64() < 0.2 {
+						x.due += rapid.SampledFrom([]float64{0, 30, 1500}).Draw(t, "again")
+						f.way = append(f.way, x)
 					}
 				}
-			case act == 17:
-				f.start(i) // killed, and back at once
-				stopped[i] = false
-			case act == 18:
-				stopped[i] = !stopped[i]
 			}
-			f.at += rapid.SampledFrom([]float64{0, 1, 10, 50, 200, 900}).Draw(t, "dt")
+			f.at += rapid.SampledFrom([]float64{1, 10, 30, 60}).Draw(t, "dt")
 			f.check(t)
+			for _, s := range f.all {
+				for i := range s.borrowed {
+					if s.borrowed[i].renewed {
+						renewed++
+					}
+				}
+			}
 		}
 		f.window(t)
+		for _, s := range f.all {
+			borrowed, late = borrowed+s.Counts.Borrowed, late+s.Counts.Late
+		}
 	})
 }
 
