--- a/internal/fleet/extra.go
+++ b/internal/fleet/extra.go
@@ -35,16 +35,7 @@
 	o := Options{
 		Name: p.Told.Name, Zone: x.Zone, Listen: x.Listen, Advertise: x.Advertise, Fleet: x.Name, Seeds: x.Seeds,
 		Expect: x.Expect, Version: p.Build, Settings: p.Told.Op.Hash[:min(12, len(p.Told.Op.Hash))], Log: p.Log,
-		Phase: func() (Phase, float64) {
-			ramp, draining := p.Phase()
-			switch {
-			case draining:
-				return Draining, ramp
-			case ramp < 1:
-				return Cold, ramp
-			}
-			return Warm, 1
-		},
+		Phase: PhaseOf(p.Phase),
 	}
 	if x.KeyFile != "" {
 		b, err := os.ReadFile(x.KeyFile)
@@ -72,3 +63,17 @@
 	p.Log.WithField("fleet", x.Listen).Info("fleet: begins")
 	return y, nil
 }
+
+// PhaseOf turns what a server tells of its ramp and drain into a phase.
+func PhaseOf(of func() (ramp float64, draining bool)) func() (Phase, float64) {
+	return func() (Phase, float64) {
+		ramp, draining := of()
+		switch {
+		case draining:
+			return Draining, ramp
+		case ramp < 1:
+			return Cold, ramp
+		}
+		return Warm, 1
+	}
+}
