--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -132,7 +132,7 @@
 	b := started(t, bed.Options{Names: n, Seed: 3})
 	do(t, b, "0s loss *>* 0.3")
 	time.Sleep(3 * time.Second) // the fault's own length
-	do(t, b, "0s heal\n0s delay *>* 200ms 200ms\n0s mess *>* 0.1")
+	do(t, b, "0s heal\n0s delay *>* 200ms 200ms\n0s mess *>* 0.1\n0s slow *>* 100000")
 	time.Sleep(3 * time.Second)
 	do(t, b, "0s heal")
 	await(t, b, n, bed.Hears("whole", 5))
--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -20,7 +20,7 @@
 close({acts: [...#Act]})
 #Act: close({
 	at:   =~"^[0-9.]+(ms|s|m)$"
-	act:  "split" | "cut" | "loss" | "delay" | "mess" | "heal" | "stop" | "cont" | "term" | "kill" | "start" | "relay" | "rate" | "jump"
+	act:  "split" | "cut" | "loss" | "delay" | "mess" | "slow" | "heal" | "stop" | "cont" | "term" | "kill" | "start" | "relay" | "rate" | "jump"
 	args: [...string] | *[]
 })
 `
@@ -38,11 +38,12 @@
 	own := ctx.CompileBytes(text, cue.Filename(path))
 	whole := ctx.CompileString(scheduleForm, cue.Filename("schedule")).Unify(own)
 	if err := whole.Validate(cue.Concrete(true), cue.Final()); err != nil {
-		first := cueerrors.Errors(err)[0]
-		line := 0
-		for _, pos := range first.InputPositions() {
-			if pos.Filename() == path {
-				line = pos.Line()
+		first, line := cueerrors.Errors(err)[0], 0
+		for _, x := range cueerrors.Errors(err) { // an error that sums up alternatives stands nowhere; each of them does
+			for _, pos := range append(x.InputPositions(), x.Position()) {
+				if line == 0 && pos.Filename() == path {
+					first, line = x, pos.Line()
+				}
 			}
 		}
 		format, args := first.Msg()
--- a/internal/stand/bed/play.go
+++ b/internal/stand/bed/play.go
@@ -52,6 +52,8 @@
 		ways(func(r *Rule) { r.Double, r.Reorder, r.Corrupt = x.Number(1), x.Number(1), x.Number(1) })
 	case "delay":
 		ways(func(r *Rule) { r.Delay, r.Spread = x.Time(1), x.Time(2) })
+	case "slow":
+		ways(func(r *Rule) { r.Rate = x.Number(1) })
 	case "heal":
 		b.Net.Heal()
 	case "stop":
--- a/internal/stand/script/script.go
+++ b/internal/stand/script/script.go
@@ -20,6 +20,7 @@
 //	8s  loss   *>* 0.1          packets are lost by that chance; parts of streams come later
 //	8s  delay  *>* 300ms 100ms  and evenly up to so much more
 //	8s  mess   *>* 0.05         by that chance each: doubled, overtaken, one byte spoilt
+//	8s  slow   *>* 4000         streams carry so many bytes a second
 //	9s  heal                    end all of these
 //	2s  stop   n1,n2            SIGSTOP; cont: SIGCONT; term: SIGTERM; kill: SIGKILL; start: again under the name
 //	3s  relay  n1               its relay restarts
@@ -44,7 +45,7 @@
 }
 
 // arguments is how many each act has.
-var arguments = map[string]int{"split": 1, "cut": 1, "loss": 2, "delay": 3, "mess": 2, "heal": 0, "stop": 1, "cont": 1, "term": 1, "kill": 1, "start": 1, "relay": 1, "rate": 2, "jump": 2}
+var arguments = map[string]int{"split": 1, "cut": 1, "loss": 2, "delay": 3, "mess": 2, "slow": 2, "heal": 0, "stop": 1, "cont": 1, "term": 1, "kill": 1, "start": 1, "relay": 1, "rate": 2, "jump": 2}
 
 // Parse reads a script for some names; errors name the line. Blank lines and those after # are passed over.
 func Parse(text string, names []string) (s Script, err error) {
@@ -76,7 +77,7 @@
 						return bad("%q is none of the names", name)
 					}
 				}
-				if arrow := x.Act == "cut" || x.Act == "loss" || x.Act == "delay" || x.Act == "mess"; arrow != strings.Contains(a, ">") {
+				if arrow := x.Act == "cut" || x.Act == "loss" || x.Act == "delay" || x.Act == "mess" || x.Act == "slow"; arrow != strings.Contains(a, ">") {
 					return bad("%s: %q has the form of another act", x.Act, a)
 				}
 				continue
@@ -88,6 +89,10 @@
 				if noTime != nil {
 					return bad("%v", noTime)
 				}
+			case x.Act == "slow":
+				if noNumber != nil || v < 1 {
+					return bad("bytes a second expected, %q there", a)
+				}
 			case x.Act == "rate":
 				if noNumber != nil || v < 0.5 || v > 2 {
 					return bad("a rate from 0.5 to 2 expected, %q there", a)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -610,6 +610,7 @@
 				w.rise(s)
 			}
 		})
+	case "slow": // of streams, which are modelled by their end
 	case "relay": // packets under way are lost, streams break: for the servers a moment's cut
 	case "rate":
 		each(func(s *server) {
