Schedules may slow engines down and have their runs fail, in simulation

Change: acts speed and fail; a known trouble with both (an engine ten times slower, then nine runs in ten failing) ends without a finding.

--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -20,7 +20,7 @@
 close({acts: [...#Act]})
 #Act: close({
 	at:   =~"^[0-9.]+(ms|s|m)$"
-	act:  "split" | "cut" | "loss" | "delay" | "mess" | "slow" | "heal" | "stop" | "cont" | "term" | "kill" | "start" | "relay" | "rate" | "jump"
+	act:  "split" | "cut" | "loss" | "delay" | "mess" | "slow" | "heal" | "stop" | "cont" | "term" | "kill" | "start" | "relay" | "rate" | "jump" | "speed" | "fail"
 	args: [...string] | *[]
 })
 `
--- a/internal/stand/script/script.go
+++ b/internal/stand/script/script.go
@@ -26,6 +26,7 @@
 //	3s  relay  n1               its relay restarts
 //	0s  rate   n1 1.1           its clock goes so fast; only in simulation
 //	7s  jump   n1 -5s           its wall clock steps; only in simulation
+//	3s  speed  n1 0.5           its engine's speed; fail n1 0.2: that part of its runs fails; only in simulation
 type Step struct {
 	At   time.Duration
 	Act  string
@@ -45,7 +46,7 @@
 }
 
 // arguments is how many each act has.
-var arguments = map[string]int{"split": 1, "cut": 1, "loss": 2, "delay": 3, "mess": 2, "slow": 2, "heal": 0, "stop": 1, "cont": 1, "term": 1, "kill": 1, "start": 1, "relay": 1, "rate": 2, "jump": 2}
+var arguments = map[string]int{"split": 1, "cut": 1, "loss": 2, "delay": 3, "mess": 2, "slow": 2, "heal": 0, "stop": 1, "cont": 1, "term": 1, "kill": 1, "start": 1, "relay": 1, "rate": 2, "jump": 2, "speed": 2, "fail": 2}
 
 // Parse reads a script for some names; errors name the line. Blank lines and those after # are passed over.
 func Parse(text string, names []string) (s Script, err error) {
@@ -93,6 +94,10 @@
 				if noNumber != nil || v < 1 {
 					return bad("bytes a second expected, %q there", a)
 				}
+			case x.Act == "speed":
+				if noNumber != nil || v < 0.01 || v > 100 {
+					return bad("a speed from 0.01 to 100 expected, %q there", a)
+				}
 			case x.Act == "rate":
 				if noNumber != nil || v < 0.5 || v > 2 {
 					return bad("a rate from 0.5 to 2 expected, %q there", a)
--- a/internal/world/serve.go
+++ b/internal/world/serve.go
@@ -22,6 +22,7 @@
 	version int32   // of the next end
 	use     float64 // of the cores, of late
 	speed   float64
+	fails   float64 // part of the runs
 	overdue int
 	done    []inHand
 }
@@ -202,7 +203,7 @@
 		}
 		s.jobs = append(s.jobs[:i], s.jobs[i+1:]...)
 		if !s.stopped {
-			j.t.Report(gate.Succeeded, 0, nil)
+			j.t.Report(w.outcome(s), 0, nil)
 		} else {
 			s.done = append(s.done, j.inHand)
 		}
@@ -213,6 +214,14 @@
 	}
 }
 
+// outcome is how a run ends.
+func (w *World) outcome(s *server) gate.Outcome {
+	if s.fails > 0 && s.chance.Float64() < s.fails {
+		return gate.Failed
+	}
+	return gate.Succeeded
+}
+
 // read has a server take an RPC.
 func (w *World) read(s *server, rpc int32, try int32) {
 	r := &w.rpcs[rpc]
@@ -236,7 +245,7 @@
 // look takes all verdicts that are there.
 func (w *World) look(s *server) {
 	for _, d := range s.done { // runs that ended while the process was stopped
-		d.t.Report(gate.Succeeded, 0, nil)
+		d.t.Report(w.outcome(s), 0, nil)
 	}
 	s.done = s.done[:0]
 	for again := true; again; {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -617,6 +617,16 @@
 			s.base, s.at0 = w.local(s), w.now
 			s.rate = x.Number(1)
 		})
+	case "speed":
+		each(func(s *server) {
+			if s.gate != nil {
+				w.work(s)
+				s.speed = x.Number(1)
+				w.arm(s)
+			}
+		})
+	case "fail":
+		each(func(s *server) { s.fails = x.Number(1) })
 	case "jump":
 		each(func(s *server) { s.wall += float64(x.Time(1)) / 1e6 })
 	}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -64,18 +64,19 @@
 // Known troubles, each to its end.
 func TestKnownTroubles(t *testing.T) {
 	for name, text := range map[string]string{
-		"halves":                      "10s split n0,n1,n2,n3|n4,n5,n6,n7\n20s heal",
-		"heals as another begins":     "10s split n0,n1,n2,n3|n4,n5,n6,n7\n20s heal\n20s split n0,n4|n1,n2,n3,n5,n6,n7\n30s heal",
-		"a third stopped":             "10s stop n1,n4\n15s cont n1,n4",
-		"stopped over a split":        "10s stop n1\n11s split n0,n1|n2,n3,n4,n5,n6,n7\n16s cont n1\n25s heal",
-		"killed and back":             "10s kill n2\n10500ms start n2",
-		"all at once":                 "10s kill *\n11s start *",
-		"one way":                     "10s cut n3>*\n20s heal",
-		"loss, delay, mess":           "10s loss *>* 0.3\n10s delay *>* 150ms 150ms\n10s mess *>* 0.1\n20s heal",
-		"a clock 10% fast":            "0s rate n5 1.1\n10s kill n1\n20s start n1",
-		"clocks that step":            "10s jump n1 60s\n15s jump n2 -60s",
-		"drained and back":            "10s term n6\n20s start n6",
-		"drained while it is stopped": "10s term n6\n10s stop n6\n15s cont n6\n20s start n6",
+		"halves":                       "10s split n0,n1,n2,n3|n4,n5,n6,n7\n20s heal",
+		"heals as another begins":      "10s split n0,n1,n2,n3|n4,n5,n6,n7\n20s heal\n20s split n0,n4|n1,n2,n3,n5,n6,n7\n30s heal",
+		"a third stopped":              "10s stop n1,n4\n15s cont n1,n4",
+		"stopped over a split":         "10s stop n1\n11s split n0,n1|n2,n3,n4,n5,n6,n7\n16s cont n1\n25s heal",
+		"killed and back":              "10s kill n2\n10500ms start n2",
+		"all at once":                  "10s kill *\n11s start *",
+		"one way":                      "10s cut n3>*\n20s heal",
+		"loss, delay, mess":            "10s loss *>* 0.3\n10s delay *>* 150ms 150ms\n10s mess *>* 0.1\n20s heal",
+		"a clock 10% fast":             "0s rate n5 1.1\n10s kill n1\n20s start n1",
+		"clocks that step":             "10s jump n1 60s\n15s jump n2 -60s",
+		"an engine slow, then failing": "10s speed n1 0.1\n20s speed n1 1\n20s fail n1 0.9\n25s fail n1 0",
+		"drained and back":             "10s term n6\n20s start n6",
+		"drained while it is stopped":  "10s term n6\n10s stop n6\n15s cont n6\n20s start n6",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
