--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -660,7 +660,7 @@
 	for key, body := range f.said {
 		f.say(at, key, body)
 	}
-	if in := f.inst; in != nil {
+	if in := f.inst; in != nil && !f.closed { // Close waits for what was begun before
 		f.wg.Add(1)
 		go func() { // memberlist must not be called from within its own call
 			defer f.wg.Done()
