--- a/cmd/valvelab/main.go
+++ b/cmd/valvelab/main.go
@@ -25,6 +25,7 @@
 	{"embedded", "a gin program at 150% of its cores: bare, behind a semaphore, behind the valve", lab.Embedded},
 	{"fleet-hearing", "eight real processes that know one another, behind relays: killed, cut, stopped, healed", lab.Hearing},
 	{"fleet-sim", "simulated fleets under random faults, how they grow, and a twin of real processes", lab.FleetSim},
+	{"fleet-twin", "the same schedules through eight processes and through the simulator", lab.FleetTwin},
 	{"pools", "five uwsgi members of which one turns bad and recovers, beside round robin without ejection", lab.Pools},
 }
 
--- a/internal/stand/app.go
+++ b/internal/stand/app.go
@@ -185,7 +185,8 @@
 	if now := a.now.Add(1); now > a.most.Load() {
 		a.most.Store(now)
 	}
-	defer a.now.Add(-1)
+	leave := sync.OnceFunc(func() { a.now.Add(-1) })
+	defer leave()
 	switch fault {
 	case Stall:
 		io.Copy(io.Discard, in) // until the peer ends it
@@ -236,6 +237,7 @@
 	case <-a.over:
 		return
 	}
+	leave() // before its caller can send the next
 	if fault == NoLength {
 		fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n%s", result)
 		return
