The simulator's streams stand still through a cut and go on when it heals

Cause: a process's dial through a cut is under way when it heals and ends at once; the model dropped it and waited for the next round of joining. Change: a join that finds its way cut is looked at again for a second.

--- a/internal/world/detector.go
+++ b/internal/world/detector.go
@@ -431,15 +431,16 @@
 	s.hear.Via(w.local(s), w.servers[u.about].name, w.servers[from].name)
 }
 
-// exchange has two servers hear all that the other knows, if the way is open both ways.
-func (w *World) exchange(a, b *server) {
+// exchange has two servers hear all that the other knows, and tells whether the way was open both ways.
+func (w *World) exchange(a, b *server) bool {
 	if !a.up || !b.up || a.stopped || b.stopped || !w.wire.open(a.i, b.i) || !w.wire.open(b.i, a.i) || !w.awake(a) || !w.awake(b) {
-		return
+		return false
 	}
 	w.hearAll(b, a)
 	w.hearAll(a, b)
 	w.word(a, b.i)
 	w.word(b, a.i)
+	return true
 }
 
 // hearAll has one hear another's whole state; what that calls dead is suspected only.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -58,6 +58,7 @@
 	usualSettle = 20e3
 	tickMs      = 100.0
 	joinMs      = 1000.0
+	joinTries   = 20 // looks at a stream that stands still
 	checkMs     = 500.0
 	mostHeld    = 300 // packets that a stopped process's socket holds
 	epoch       = 1_700_000_000_000
@@ -508,7 +509,10 @@
 				w.exchange(s, &w.servers[peers[0]])
 			}
 		case evJoin:
-			w.exchange(s, &w.servers[e.a])
+			// A stream through a cut stands still for a second, and goes on if the cut heals before.
+			if !w.exchange(s, &w.servers[e.a]) && e.b < joinTries && w.servers[e.a].up {
+				w.after(s, joinMs/joinTries, evJoin, e.a, e.b+1)
+			}
 		case evEngine:
 			w.engineDone(s, e.a)
 		}
