--- a/choose/share/share_test.go
+++ b/choose/share/share_test.go
@@ -80,88 +80,112 @@
 // Whatever messages are lost, late or doubled, whoever crashes, stalls or starts anew, with clocks off by the stated drift: parts
 // sum to the bound at most, nobody is under its floor, and what is taken in any window stays within bound and burst.
 func TestBoundHolds(t *testing.T) {
-	var borrowed, late, renewed uint64
-	defer func() {
-		if borrowed == 0 || late == 0 || renewed == 0 {
-			t.Errorf("%d loans, %d answers that came late, %d renewals: the runs show nothing", borrowed, late, renewed)
-		}
-	}()
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(2, 6).Draw(t, "servers")
-		r := Rules{Kind: Rate, Bound: 100, Burst: 20, Servers: n, Floor: 100 / float64(n) * rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "floor"),
-			Longest: 1000, Drift: rapid.SampledFrom([]float64{0, 1e-3, 0.05}).Draw(t, "drift")}
-		f := newFleet(r, n, rapid.Int64Range(0, 1<<20).Draw(t, "seed"))
-		stopped := make([]bool, n)
-		if rapid.Bool().Draw(t, "old") {
-			f.at += 3 * r.Longest
+		run(t, draws{
+			int:  func(low, high int) int { return rapid.IntRange(low, high).Draw(t, "n") },
+			pick: func(of ...float64) float64 { return rapid.SampledFrom(of).Draw(t, "x") },
+		})
+	})
+}
+
+// The same from seeds, which show enough each time: loans, their renewals, and answers that come too late.
+func TestBoundHoldsBySeed(t *testing.T) {
+	var borrowed, late, renewed uint64
+	for seed := range int64(300) {
+		chance := rand.New(rand.NewSource(seed))
+		b, l, r := run(t, draws{
+			int:  func(low, high int) int { return low + chance.Intn(high-low+1) },
+			pick: func(of ...float64) float64 { return of[chance.Intn(len(of))] },
+		})
+		borrowed, late, renewed = borrowed+b, late+l, renewed+r
+	}
+	if borrowed < 100 || late < 100 || renewed < 20 {
+		t.Errorf("%d loans, %d answers that came late, %d renewals: the runs show too little", borrowed, late, renewed)
+	}
+}
+
+// draws are where a run's chance comes from.
+type draws struct {
+	int  func(low, high int) int
+	pick func(of ...float64) float64
+}
+
+func run(t interface{ Fatalf(string, ...any) }, d draws) (borrowed, late, renewed uint64) {
+	n := d.int(2, 6)
+	r := Rules{Kind: Rate, Bound: 100, Burst: 20, Servers: n, Floor: 100 / float64(n) * d.pick(0, 0.2, 0.5),
+		Longest: 1000, Drift: d.pick(0, 1e-3, 0.05)}
+	f := newFleet(r, n, int64(d.int(0, 1<<20)))
+	stopped := make([]bool, n)
+	if d.int(0, 1) == 1 {
+		f.at += 3 * r.Longest
+	}
+	hot, bad := 0, 0.0
+	for range d.int(50, 300) {
+		switch d.int(0, 39) {
+		case 0:
+			f.start(d.int(0, n-1)) // and back at once
+		case 1, 2:
+			i := d.int(0, n-1)
+			stopped[i] = !stopped[i]
+		case 3:
+			bad = d.pick(0, 0.3, 1)
+		case 4:
+			hot = d.int(0, n-1)
+		case 5:
+			f.at += d.pick(200, 900, 2500)
 		}
-		hot, bad := 0, 0.0
-		for range rapid.IntRange(50, 300).Draw(t, "steps") {
-			switch rapid.IntRange(0, 39).Draw(t, "fault") {
-			case 0:
-				f.start(rapid.IntRange(0, n-1).Draw(t, "killed")) // and back at once
-			case 1, 2:
-				i := rapid.IntRange(0, n-1).Draw(t, "stopped")
-				stopped[i] = !stopped[i]
-			case 3:
-				bad = rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(t, "loss")
-			case 4:
-				hot = rapid.IntRange(0, n-1).Draw(t, "hot")
-			case 5:
-				f.at += rapid.SampledFrom([]float64{200, 900, 2500}).Draw(t, "pause")
+		for i, s := range f.all {
+			if stopped[i] {
+				continue
 			}
-			for i, s := range f.all {
-				if stopped[i] {
-					continue
-				}
-				load := 0
-				if i == hot {
-					load = 10
-				} else if f.chance.Float64() < 0.1 {
-					load = 1
-				}
-				for range load {
-					if s.Take(f.now(i), 1, 1, 0) {
-						f.taken = append(f.taken, f.at)
-					}
-				}
-				for k := range f.all {
-					if k != i && bad < 1 {
-						f.all[k].Told(f.now(k), name(i), s.Spare(f.now(i)))
-					}
+			load := 0
+			if i == hot {
+				load = 10
+			} else if f.chance.Float64() < 0.1 {
+				load = 1
+			}
+			for range load {
+				if s.Take(f.now(i), 1, 1, 0) {
+					f.taken = append(f.taken, f.at)
 				}
-				f.send(i, s.Tick(f.now(i)), rapid.SampledFrom([]float64{1, 1, 1, 40, 700, 2000}).Draw(t, "delay"))
 			}
-			way := f.way // what is due arrives, in any order; some not, some twice, some much later
-			f.way = nil
-			f.chance.Shuffle(len(way), func(i, k int) { way[i], way[k] = way[k], way[i] })
-			for _, x := range way {
-				switch {
-				case x.due > f.at || stopped[x.to]:
-					f.way = append(f.way, x)
-				case f.chance.Float64() >= bad:
-					f.send(x.to, f.all[x.to].Receive(f.now(x.to), name(x.from), x.m), 1)
-					if f.chance.Float64() < 0.2 {
-						x.due += rapid.SampledFrom([]float64{0, 30, 1500}).Draw(t, "again")
-						f.way = append(f.way, x)
-					}
+			for k := range f.all {
+				if k != i && bad < 1 {
+					f.all[k].Told(f.now(k), name(i), s.Spare(f.now(i)))
 				}
 			}
-			f.at += rapid.SampledFrom([]float64{1, 10, 30, 60}).Draw(t, "dt")
-			f.check(t)
-			for _, s := range f.all {
-				for i := range s.borrowed {
-					if s.borrowed[i].renewed {
-						renewed++
-					}
+			f.send(i, s.Tick(f.now(i)), d.pick(1, 1, 1, 40, 700, 2000))
+		}
+		way := f.way // what is due arrives, in any order; some not, some twice, some much later
+		f.way = nil
+		f.chance.Shuffle(len(way), func(i, k int) { way[i], way[k] = way[k], way[i] })
+		for _, x := range way {
+			switch {
+			case x.due > f.at || stopped[x.to]:
+				f.way = append(f.way, x)
+			case f.chance.Float64() >= bad:
+				f.send(x.to, f.all[x.to].Receive(f.now(x.to), name(x.from), x.m), 1)
+				if f.chance.Float64() < 0.2 {
+					x.due += d.pick(0, 30, 1500)
+					f.way = append(f.way, x)
 				}
 			}
 		}
-		f.window(t)
+		f.at += d.pick(1, 10, 30, 60)
+		f.check(t)
 		for _, s := range f.all {
-			borrowed, late = borrowed+s.Counts.Borrowed, late+s.Counts.Late
+			for i := range s.borrowed {
+				if s.borrowed[i].renewed {
+					renewed++
+				}
+			}
 		}
-	})
+	}
+	f.window(t)
+	for _, s := range f.all {
+		borrowed, late = borrowed+s.Counts.Borrowed, late+s.Counts.Late
+	}
+	return borrowed, late, renewed
 }
 
 // window checks any window of what was taken, starting at each take.
