The check for answers that never come could not fire; it does now, and hooks that nothing used are gone

Seen on reading the change again: the simulator looked for an owed answer 2 ms past its due time and minded from 10 ms on, so it found nothing ever; and it sought the server among all by a life that is not the fleet's, work for each RPC that grows with the fleet. Lines at fault: reaches and owed in callers.go. Change: the event belongs to the server's process and comes 20 ms past; the planted fault is a test. choose/share says in one place until when a loan is booked. Gone: test hooks, a clock and fields of fleet, world and share that nothing used.

--- a/choose/share/share.go
+++ b/choose/share/share.go
@@ -113,7 +113,6 @@
 	r    Rules
 	life uint64
 	own  float64
-	born float64
 
 	lent     []loan
 	borrowed []loan
@@ -140,7 +139,7 @@
 // New returns the part of a server whose process has the given life, drawn at its start. What its former life may have lent
 // counts as lent until no such loan can last: at first it has its floor.
 func New(r Rules, life uint64, seed int64, now float64) *Share {
-	s := &Share{r: r, life: life, own: r.Bound / float64(max(1, r.Servers)), born: now, asks: map[uint64]asked{}, chance: rand.New(rand.NewSource(seed)), filled: now, meanAt: now}
+	s := &Share{r: r, life: life, own: r.Bound / float64(max(1, r.Servers)), asks: map[uint64]asked{}, chance: rand.New(rand.NewSource(seed)), filled: now, meanAt: now}
 	s.forgotten(now)
 	return s
 }
@@ -148,16 +147,22 @@
 // forgotten books all that may be out and is not known of.
 func (s *Share) forgotten(now float64) {
 	if out := s.own - s.r.Floor; out > 0 {
-		s.lent = append(s.lent[:0], loan{amount: out, ends: now + s.r.Longest*(1+s.r.Drift)*(1+s.r.Drift)})
+		s.lent = append(s.lent[:0], loan{amount: out, ends: s.booked(now)})
 	}
 }
 
+// booked is until when a loan of now counts as lent: longer than its borrower, whose clock may be slow where ours is fast,
+// can use it.
+func (s *Share) booked(now float64) float64 {
+	return now + s.r.Longest*(1+s.r.Drift)*(1+s.r.Drift)
+}
+
 // Void drops what is borrowed: the own clock can't be trusted to have seen its end. What is lent counts as lent anew.
 func (s *Share) Void(now float64) {
 	s.drop(now, func(*loan) bool { return true })
 	clear(s.asks)
 	for i := range s.lent {
-		s.lent[i].ends = now + s.r.Longest*(1+s.r.Drift)*(1+s.r.Drift)
+		s.lent[i].ends = s.booked(now)
 	}
 }
 
@@ -455,9 +460,8 @@
 			return Message{Kind: Deny, To: from, Number: m.Number, Life: m.Life}
 		}
 	}
-	// Booked before it is told, for longer than its borrower can use it: that counts from when it asked, by a clock that may
-	// be slow where ours is fast.
-	s.lent = append(s.lent, loan{peer: from, number: m.Number, life: m.Life, amount: amount, began: now, ends: now + s.r.Longest*(1+s.r.Drift)*(1+s.r.Drift)})
+	// Booked before it is told; its borrower counts from when it asked.
+	s.lent = append(s.lent, loan{peer: from, number: m.Number, life: m.Life, amount: amount, began: now, ends: s.booked(now)})
 	s.tokens = math.Min(s.tokens, s.burst())
 	s.Counts.Granted++
 	return Message{Kind: Grant, To: from, Number: m.Number, Life: m.Life, Amount: amount, For: s.r.Longest}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,11 +43,8 @@
 	Phase     func() (Phase, float64)
 	Log       *logrus.Entry
 
-	rules hearing.Rules                                                  // zero for the usual ones
-	lower func() (lower, error)                                          // nil: sockets
-	now   func() time.Time                                               // nil: the machine's clock
-	tune  func(*memberlist.Config)                                       // nil: as here
-	event func(kind memberlist.NodeEventType, name string, at time.Time) // nil for none: tests hear of the detector
+	rules hearing.Rules         // zero for the usual ones
+	lower func() (lower, error) // nil: sockets
 }
 
 const (
@@ -78,7 +75,6 @@
 // Fleet is one server's part in it.
 type Fleet struct {
 	o      Options
-	now    func() time.Time
 	origin time.Time
 	count  traffic
 	queue  *memberlist.TransmitLimitedQueue
@@ -137,14 +133,11 @@
 	if o.Phase == nil {
 		o.Phase = func() (Phase, float64) { return Warm, 1 }
 	}
-	if o.now == nil {
-		o.now = time.Now
-	}
 	if o.Advertise == "" {
 		o.Advertise = o.Listen
 	}
 	f := &Fleet{
-		o: o, now: o.now, origin: o.now(), cancel: make(chan struct{}), over: make(chan struct{}),
+		o: o, origin: time.Now(), cancel: make(chan struct{}), over: make(chan struct{}),
 		joins: make(chan struct{}, joinsMost), table: spread.NewTable(spread.Usual), seq: map[string]uint64{},
 		said: map[string][]byte{}, byAddr: map[string]string{}, addrs: map[string]string{},
 	}
@@ -164,14 +157,14 @@
 func (f *Fleet) ms(t time.Time) float64 { return float64(t.Sub(f.origin)) / 1e6 }
 
 // wall is the wall clock in ms; only its parting from the own clock is looked at.
-func (f *Fleet) wall() float64 { return float64(f.now().Round(0).UnixNano()) / 1e6 }
+func (f *Fleet) wall() float64 { return float64(time.Now().Round(0).UnixNano()) / 1e6 }
 
 // awake tells whether the server has run without a stall. What it finds holds until the detector begins anew.
 func (f *Fleet) awake() bool {
 	if f.muted.Load() {
 		return false
 	}
-	if gap := f.now().Sub(f.origin) - time.Duration(f.ticked.Load()); float64(gap)/1e6 >= f.o.rules.Stall {
+	if gap := time.Now().Sub(f.origin) - time.Duration(f.ticked.Load()); float64(gap)/1e6 >= f.o.rules.Stall {
 		f.muted.Store(true)
 		return false
 	}
@@ -180,7 +173,7 @@
 
 // begin starts memberlist, with no knowledge of anybody.
 func (f *Fleet) begin() error {
-	f.ticked.Store(int64(f.now().Sub(f.origin)))
+	f.ticked.Store(int64(time.Now().Sub(f.origin)))
 	f.muted.Store(false)
 	if !goodName(f.o.Name) {
 		return errName
@@ -217,12 +210,9 @@
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = suspectMult, suspectMax
 	c.DeadNodeReclaimTime = time.Second // a name may come back under another address
 	c.Delegate, c.Events, c.Conflict, c.Ping, c.Alive = in, in, in, in, in
-	if f.o.tune != nil {
-		f.o.tune(c)
-	}
 	f.mu.Lock()
 	f.inst = in
-	f.pulse(f.now())
+	f.pulse(time.Now())
 	f.mu.Unlock()
 	defer close(in.ready)
 	if in.ml, err = memberlist.Create(c); err != nil {
@@ -252,14 +242,14 @@
 	defer close(f.over)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	nextJoin := f.now()
+	nextJoin := time.Now()
 	for {
 		select {
 		case <-f.cancel:
 			return
 		case <-tick.C:
 		}
-		now := f.now()
+		now := time.Now()
 		muted := !f.awake() // before the tick is noted: whoever looks first sees the gap
 		f.mu.Lock()
 		stalled := f.hear.Tick(f.ms(now), f.wall()) || muted
@@ -271,7 +261,7 @@
 		if (stalled || deaf) && !refused {
 			f.muted.Store(true)
 			f.anew(stalled)
-			nextJoin = f.now()
+			nextJoin = time.Now()
 			continue
 		}
 		f.ticked.Store(int64(now.Sub(f.origin)))
@@ -299,7 +289,7 @@
 	f.mu.Lock()
 	old := f.inst
 	f.inst = nil
-	f.hear.Void(f.ms(f.now()))
+	f.hear.Void(f.ms(time.Now()))
 	f.contact = time.Time{}
 	clear(f.byAddr)
 	f.restarts++
@@ -346,21 +336,21 @@
 func (f *Fleet) Say(key string, body []byte) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.say(f.now(), key, body)
+	return f.say(time.Now(), key, body)
 }
 
 // Get returns the newest record of an origin under a key, and the ms since it was heard.
 func (f *Fleet) Get(origin, key string) (r spread.Record, age float64, has bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table.Get(f.ms(f.now()), origin, key)
+	return f.table.Get(f.ms(time.Now()), origin, key)
 }
 
 // Each calls f for the newest record of each origin under a key, with the ms since it was heard.
 func (f *Fleet) Each(key string, each func(r *spread.Record, age float64)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.table.Each(f.ms(f.now()), key, each)
+	f.table.Each(f.ms(time.Now()), key, each)
 }
 
 // join tries whoever is silent, and seeds that nobody heard listens on, a few at a time.
@@ -409,7 +399,7 @@
 func (f *Fleet) word(from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hear.Word(f.ms(f.now()), f.byAddr[from])
+	f.hear.Word(f.ms(time.Now()), f.byAddr[from])
 }
 
 // current tells whether events of an instance count. The lock is held.
@@ -435,19 +425,19 @@
 }
 
 // NotifyJoin and the rest are called by memberlist.
-func (in *instance) NotifyJoin(n *memberlist.Node) { in.there(memberlist.NodeJoin, n) }
+func (in *instance) NotifyJoin(n *memberlist.Node) { in.there(n) }
 
 // NotifyUpdate hears of a node that said something new of itself.
-func (in *instance) NotifyUpdate(n *memberlist.Node) { in.there(memberlist.NodeUpdate, n) }
+func (in *instance) NotifyUpdate(n *memberlist.Node) { in.there(n) }
 
-func (in *instance) there(kind memberlist.NodeEventType, n *memberlist.Node) {
+func (in *instance) there(n *memberlist.Node) {
 	f := in.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if n.Name == f.o.Name || !in.current() || !f.awake() {
 		return
 	}
-	now := f.now()
+	now := time.Now()
 	if f.contact.IsZero() {
 		f.contact = now
 	}
@@ -459,9 +449,6 @@
 	f.hear.Known(f.ms(now), n.Name, "", start, life)
 	f.hear.Alive(f.ms(now), n.Name)
 	f.size.Store(int64(1 + len(f.byAddr)))
-	if f.o.event != nil {
-		f.o.event(kind, n.Name, now)
-	}
 }
 
 // NotifyLeave hears of a node that left or fell silent.
@@ -472,7 +459,7 @@
 	if n.Name == f.o.Name || !in.current() || !f.awake() {
 		return
 	}
-	now := f.now()
+	now := time.Now()
 	delete(f.byAddr, n.Address())
 	f.size.Store(int64(1 + len(f.byAddr)))
 	if n.State == memberlist.StateLeft {
@@ -481,9 +468,6 @@
 		f.lost++
 		f.hear.Lost(f.ms(now), n.Name)
 	}
-	if f.o.event != nil {
-		f.o.event(memberlist.NodeLeave, n.Name, now)
-	}
 }
 
 // NodeMeta tells one life of a name from another.
@@ -521,7 +505,7 @@
 	if existing.Name != f.o.Name || f.refused != nil {
 		return
 	}
-	now := f.now()
+	now := time.Now()
 	otherStart, otherLife := lifeOf(other.Meta)
 	isNew := f.contact.IsZero() || now.Sub(f.contact) < young
 	if isNew && (otherStart > f.self.Start || otherStart == f.self.Start && otherLife > f.self.Life || f.hear.View(f.ms(now)).State == hearing.Alone) {
@@ -533,7 +517,7 @@
 func (f *Fleet) refuse(err error) {
 	f.refused = err
 	f.muted.Store(true)
-	f.hear.Void(f.ms(f.now()))
+	f.hear.Void(f.ms(time.Now()))
 	f.o.Log.WithError(err).Error("fleet: refused")
 }
 
@@ -546,7 +530,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if in.current() && f.awake() {
-		f.hear.Answered(f.ms(f.now()), n.Name)
+		f.hear.Answered(f.ms(time.Now()), n.Name)
 	}
 }
 
@@ -613,7 +597,7 @@
 	if !in.current() || !f.awake() || f.refused != nil {
 		return
 	}
-	at := f.now()
+	at := time.Now()
 	now := f.ms(at)
 	r, err := spread.Parse(raw)
 	if err == nil && !goodName(r.Origin) {
@@ -680,12 +664,12 @@
 	if !has || name == f.o.Name {
 		return fmt.Errorf("%q is no other server of the fleet that is known here", name)
 	}
-	for _, p := range f.hear.Peers(f.ms(f.now())) {
+	for _, p := range f.hear.Peers(f.ms(time.Now())) {
 		if p.Name == name && p.Heard {
 			return fmt.Errorf("%s is heard: it is not gone", name)
 		}
 	}
-	now := f.now()
+	now := time.Now()
 	g := gone{name: name, start: start, who: who, why: why}
 	if err := f.say(now, keyGone, g.append(nil)); err != nil {
 		return err
@@ -699,7 +683,7 @@
 func (f *Fleet) View() hearing.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.hear.View(f.ms(f.now()))
+	return f.hear.View(f.ms(time.Now()))
 }
 
 // Close says good-bye and ends all that was started. It takes half a second at the most beside an exchange under way.
@@ -712,7 +696,7 @@
 	f.closed = true
 	if f.inst != nil && f.refused == nil {
 		s := Server{Zone: f.o.Zone, Version: f.o.Version, Settings: f.o.Settings, Addr: f.o.Advertise, Phase: Leaving}
-		f.say(f.now(), keyServer, s.append(nil))
+		f.say(time.Now(), keyServer, s.append(nil))
 	}
 	f.mu.Unlock()
 	close(f.cancel)
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -72,7 +72,7 @@
 func (f *Fleet) Status() Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.ms(f.now())
+	now := f.ms(time.Now())
 	v := f.hear.View(now)
 	phase, ramp := f.o.Phase()
 	s := Status{
--- a/internal/world/callers.go
+++ b/internal/world/callers.go
@@ -19,7 +19,8 @@
 	backoffMs  = 5.0    // before the next try
 	repeatPart = 0.1    // of purchases are sent again once they were told ok
 	repeatMs   = 50.0
-	mostReads  = 64 // RPCs that lie in a stopped server's sockets
+	owedSlack  = 10.0 // past the due time, after which an answer is missing: more than clocks drift by over it
+	mostReads  = 64   // RPCs that lie in a stopped server's sockets
 )
 
 // What an answer is, in an event: the code, whether the caller is asked not to go on, and for how many ms to stay away.
@@ -110,8 +111,6 @@
 		w.answer(e.a, e.b, e.life)
 	case evGiveUp:
 		w.givesUp(e.a, e.b)
-	case evOwed:
-		w.owed(e.a, e.b, int32(e.life))
 	}
 }
 
@@ -224,7 +223,7 @@
 		} // else its connection does not come about, and its caller waits
 	default:
 		r.refs++
-		w.queue.put(event{at: w.now + deadlineMs + slackMs + 4*wayMs, kind: evOwed, who: -1, a: e.a, b: e.b, life: s.life})
+		w.queue.put(event{at: w.now + deadlineMs + slackMs + 2*owedSlack, kind: evOwed, who: s.i, a: e.a, b: e.b, life: s.life})
 		w.read(s, e.a, e.b)
 	}
 }
@@ -371,19 +370,12 @@
 	w.finish(at, 2)
 }
 
-// owed looks whether a try that a server read has had its verdict, if the server ran all the time.
-func (w *World) owed(at, try int32, life int32) {
-	for i := range w.servers {
-		s := &w.servers[i]
-		if s.life != uint32(life) || !s.up || s.stopped {
-			continue
-		}
-		for _, h := range s.tickets {
-			if h.rpc == at && h.try == try && w.now > h.owed+10 && w.now-s.roused > deadlineMs+slackMs {
-				w.Found("rules", "%s: an RPC is without an answer %.0f ms past its due time", s.name, w.now-h.owed+slackMs)
-			}
+// owed looks whether a try that a server read has had its verdict, if that process has run all the time.
+func (w *World) owed(s *server, at, try int32) {
+	for _, h := range s.tickets {
+		if h.rpc == at && h.try == try && w.now > h.owed+owedSlack && w.now-s.roused > deadlineMs+slackMs {
+			w.Found("rules", "%s: an RPC is without an answer %.0f ms past its due time", s.name, w.now-h.owed+slackMs)
 		}
-		return
 	}
 }
 
--- a/internal/world/serve.go
+++ b/internal/world/serve.go
@@ -253,6 +253,10 @@
 		keep := s.tickets[:0]
 		begun := false
 		for _, h := range s.tickets {
+			if w.o.plant == neverAnswers && w.rpcs[h.rpc].id%97 == 0 {
+				keep = append(keep, h)
+				continue
+			}
 			v, there := h.t.Now()
 			if !there {
 				keep = append(keep, h)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -34,7 +33,6 @@
 	CheckMs  float64       // between two looks of the checkers; 0 for the usual
 	Plain    bool          // callers try once, at a server drawn for each RPC
 	SettleMs float64       // after the last act, until views are to be whole; 0 for the usual
-	Progress func(at float64)
 
 	plant plant // a fault in a module, for tests of the checkers
 }
@@ -48,6 +46,7 @@
 	silenceLeaves       // who falls silent is off the roster
 	deafAfterLoss       // who was lost is never heard again
 	answersTwice        // now and then
+	neverAnswers        // now and then
 	runsTwice           // a repeated token now and then
 )
 
@@ -76,7 +75,6 @@
 	draining bool
 	stopAt   float64 // when it ends, while it drains
 	life     uint32  // of its process, counted over the run: larger is later
-	start    hearing.Identity
 	chance   *rand.Rand
 	rate     float64 // of its clock
 	at0      float64 // world's ms at which its clock showed base
@@ -88,7 +86,6 @@
 	det      detector
 	held     []event
 	joinAt   float64
-	upSince  float64
 	downAt   float64
 	stalls   int // that it found
 	pulses   uint32
@@ -115,7 +112,6 @@
 	found    []Finding
 	result   Result
 	digest   *xxhash.Digest
-	scratch  [8]byte
 }
 
 // Result is what a run came to.
@@ -230,9 +226,8 @@
 	s.base, s.at0 = 1000*s.chance.Float64(), w.now
 	s.up, s.stopped, s.draining, s.muted = true, false, false, false
 	s.life++
-	s.upSince, s.roused = w.now, w.now
+	s.roused = w.now
 	s.held = s.held[:0]
-	s.start = hearing.Identity{Start: 1, Life: uint64(s.life)<<32 | uint64(s.i)<<1 | 1}
 	s.det.inc = 0
 	w.freshDetector(s)
 	s.det.target = -1
@@ -425,15 +420,10 @@
 
 // Run lets the whole length pass and tells what came of it.
 func (w *World) Run() *Result {
-	began, told := time.Now(), 0.0
 	for w.queue.len() > 0 && w.queue.heap[0].at <= w.o.Length {
 		e := w.queue.take()
 		w.now = e.at
 		w.result.Events++
-		if w.o.Progress != nil && w.result.Events%65536 == 0 && time.Since(began).Seconds() > told+1 {
-			told = time.Since(began).Seconds()
-			w.o.Progress(w.now)
-		}
 		w.happens(&e)
 	}
 	w.now = w.o.Length
@@ -513,6 +503,8 @@
 			if !w.exchange(s, &w.servers[e.a]) && e.b < joinTries && w.servers[e.a].up {
 				w.after(s, joinMs/joinTries, evJoin, e.a, e.b+1)
 			}
+		case evOwed:
+			w.owed(s, e.a, e.b)
 		case evEngine:
 			w.engineDone(s, e.a)
 		}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -139,6 +139,7 @@
 		"silence is taken for departure":                {silenceLeaves, "bounds", 100},
 		"who was lost once is never heard again":        {deafAfterLoss, "views", 100},
 		"answers come twice":                            {answersTwice, "rules", 100},
+		"an answer never comes":                         {neverAnswers, "rules", 100},
 		"a purchase runs twice":                         {runsTwice, "rules", 100},
 	} {
 		t.Run(name, func(t *testing.T) {
