The relay's test waits until the relay has lost the packet before it heals the cut

Cause: the test healed without waiting for what it had sent. Change: it waits for the relay's count.

--- a/internal/stand/bed/bed_test.go
+++ b/internal/stand/bed/bed_test.go
@@ -38,6 +38,11 @@
 	if size, _, err := ends[a].ReadFromUDP(buf); err != nil || string(buf[:size]) != "back" {
 		t.Fatalf("the other way: %q %v", buf[:size], err)
 	}
+	for end := time.Now().Add(20 * time.Second); n.Counts().Lost == 0; time.Sleep(time.Millisecond) { // before the heal lets it through
+		if time.Now().After(end) {
+			t.Fatalf("%+v", n.Counts())
+		}
+	}
 	ln, err := net.Listen("tcp", b.Listen())
 	if err != nil {
 		t.Fatal(err)
