Connections: evict, permits, shutdown and connection state are called what they are

A rename alone: Life is ConnState, Give is Evict, MakeRoom is EvictSome, slots are permits, Finish is Shutdown. Behaviour unchanged. TestEvictSome failed once beside other work: it looked while the last check was still booked as open, since a peer hears an answer before its server books it, and a look passes over busy connections. It now waits until none is busy; what it asks for is the same.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -158,7 +158,7 @@
 			return nil
 		case <-kept.ready:
 			if kept.err != nil {
-				x.table.Finish(x.ctx)
+				x.table.Shutdown(x.ctx)
 				return fmt.Errorf("store: %w", kept.err)
 			}
 		}
@@ -216,7 +216,7 @@
 	}
 	ctx, end := context.WithDeadline(context.Background(), began.Add(p.Stop-spare))
 	defer end()
-	x.table.Finish(ctx)
+	x.table.Shutdown(ctx)
 	x.log.WithField("ms", time.Since(began).Milliseconds()).WithField("in_hand", x.Gate.InHand()).Info("drain: over")
 	return true
 }
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -205,7 +205,7 @@
 	return x, nil
 }
 
-// Close ends all parts. What is in hand is not waited for: Finish does that.
+// Close ends all parts. What is in hand is not waited for: Shutdown does that.
 func (x *Server) Close() {
 	for i := len(x.ends) - 1; i >= 0; i-- {
 		x.ends[i]()
@@ -213,8 +213,8 @@
 	x.ends = nil
 }
 
-// Finish lets nothing more in and waits for what is in hand until ctx ends.
-func (x *Server) Finish(ctx context.Context) { x.table.Finish(ctx) }
+// Shutdown lets nothing more in and waits for what is in hand until ctx ends.
+func (x *Server) Shutdown(ctx context.Context) { x.table.Shutdown(ctx) }
 
 // Pools are those of the operator's file; nil without one.
 func (x *Server) Pools() *pools.Backs {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,7 +19,7 @@
 type Conn interface {
 	Serve()                                           // reads until the end, and closes
 	Room(now time.Time) (how Readily, last time.Time) // how readily it is given up, and when something last passed
-	Give(last time.Time)                              // closes it unless something has passed since
+	Evict(last time.Time)                             // closes it unless something has passed since
 	Retire(idle time.Duration)                        // closes it in its protocol's way once it has been idle so long
 	Closing()                                         // no more RPCs are wanted on it
 	Close() error
@@ -30,9 +30,9 @@
 	idle func() time.Duration
 	log  *logrus.Entry
 
-	slots  chan struct{} // one for each connection that may be open
-	over   atomic.Bool   // no more RPCs are wanted: every connection is told so
-	closed chan struct{} // once nothing is accepted any more
+	permits chan struct{} // a semaphore: one for each connection that may be open
+	over    atomic.Bool   // no more RPCs are wanted: every connection is told so
+	closed  chan struct{} // once nothing is accepted any more
 
 	mu        sync.Mutex
 	listeners []*net.TCPListener
@@ -63,7 +63,7 @@
 func NewTable(sockets int, idle func() time.Duration, log *logrus.Entry) *Table {
 	return &Table{
 		idle: idle, log: log, closed: make(chan struct{}),
-		slots: make(chan struct{}, max(8, sockets-reserved)), conns: map[Conn]struct{}{},
+		permits: make(chan struct{}, max(8, sockets-reserved)), conns: map[Conn]struct{}{},
 	}
 }
 
@@ -71,7 +71,7 @@
 func (t *Table) Over() bool { return t.over.Load() }
 
 // Listen adds the listening socket of a front, whose connections are made by open. It does not block. It must not
-// be called after Finish.
+// be called after Shutdown.
 func (t *Table) Listen(ln *net.TCPListener, open func(net.Conn) Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -92,13 +92,13 @@
 		}
 	}()
 	for {
-		t.slot()
-		if t.over.Load() { // one may have waited for its slot: a deadline that is past would pass it over
+		t.acquire()
+		if t.over.Load() { // one may have waited for its permit: a deadline that is past would pass it over
 			ln.SetDeadline(time.Now().Add(LastAccept))
 		}
 		nc, err := ln.Accept()
 		if err != nil {
-			<-t.slots
+			<-t.permits
 			if errors.Is(err, os.ErrDeadlineExceeded) && t.over.Load() {
 				return
 			}
@@ -116,24 +116,24 @@
 			t.mu.Lock()
 			delete(t.conns, c)
 			t.mu.Unlock()
-			<-t.slots
+			<-t.permits
 			t.wg.Done()
 		}()
 	}
 }
 
-// slot waits for a place for one more connection.
-func (t *Table) slot() {
+// acquire waits for a permit for one more connection.
+func (t *Table) acquire() {
 	select {
-	case t.slots <- struct{}{}:
+	case t.permits <- struct{}{}:
 		return
 	default:
-		t.log.WithField("most", cap(t.slots)).Warn("server: connection limit reached")
+		t.log.WithField("most", cap(t.permits)).Warn("server: connection limit reached")
 	}
 	for {
-		t.MakeRoom()
+		t.EvictSome()
 		select {
-		case t.slots <- struct{}{}:
+		case t.permits <- struct{}{}:
 			return
 		case <-time.After(roomPause):
 		}
@@ -157,21 +157,21 @@
 	}
 }
 
-// RoomMost is how many connections one look gives up: a crowd comes by hundreds, and a look at each of all
+// EvictMost is how many connections one look gives up: a crowd comes by hundreds, and a look at each of all
 // connections for each new one took a fifth of the server's time.
-const RoomMost = 16
+const EvictMost = 16
 
-// MakeRoom gives up the connections that are missed least. Those that were never of use go first, however many: else
+// EvictSome gives up the connections that are missed least. Those that were never of use go first, however many: else
 // a crowd of them would keep sound peers out. Without any, it is the one that has been idle for longest.
-func (t *Table) MakeRoom() {
+func (t *Table) EvictSome() {
 	var longest Conn
 	var since time.Time
 	given, wait, now := 0, false, time.Now()
 	for _, c := range t.All() {
 		readily, last := c.Room(now)
 		switch {
-		case readily == Useless && given < RoomMost:
-			c.Give(last)
+		case readily == Useless && given < EvictMost:
+			c.Evict(last)
 			given++
 		case readily == Young:
 			wait = true
@@ -180,7 +180,7 @@
 		}
 	}
 	if given == 0 && !wait && longest != nil {
-		longest.Give(since)
+		longest.Evict(since)
 	}
 }
 
@@ -195,9 +195,9 @@
 	return all
 }
 
-// Finish stops accepting, asks for no more RPCs on any connection, waits until all that was read has been
+// Shutdown stops accepting, asks for no more RPCs on any connection, waits until all that was read has been
 // answered and the connections are closed, or ctx ends, and closes what is left.
-func (t *Table) Finish(ctx context.Context) {
+func (t *Table) Shutdown(ctx context.Context) {
 	t.over.Store(true)
 	t.mu.Lock()
 	for _, ln := range t.listeners {
--- a/internal/front/mprpc/conn.go
+++ b/internal/front/mprpc/conn.go
@@ -30,9 +30,9 @@
 
 // conn is one connection of a router.
 type conn struct {
-	front.Life // its Open is the length of open
-	s          *Server
-	wg         sync.WaitGroup // of the goroutines beside the reader
+	front.ConnState // its Open is the length of open
+	s               *Server
+	wg              sync.WaitGroup // of the goroutines beside the reader
 
 	open    map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered; guarded by Mu
 	writing sync.Mutex
@@ -40,7 +40,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{Life: front.Life{Conn: nc, Last: time.Now()}, s: s, open: map[uint64]*gate.Ticket{}}
+	return &conn{ConnState: front.ConnState{Conn: nc, Last: time.Now()}, s: s, open: map[uint64]*gate.Ticket{}}
 }
 
 // Serve reads until the connection ends, waits for what is in hand, and closes it.
--- a/internal/front/mprpc/server_test.go
+++ b/internal/front/mprpc/server_test.go
@@ -78,7 +78,7 @@
 		ctx, end := context.WithTimeout(context.Background(), time.Second)
 		defer end()
 		r.conn.Close()
-		r.table.Finish(ctx)
+		r.table.Shutdown(ctx)
 	})
 	r.conn = r.dial()
 	return r
@@ -460,7 +460,7 @@
 			ctx, end := context.WithTimeout(context.Background(), soon)
 			defer end()
 			over := make(chan struct{})
-			go func() { r.table.Finish(ctx); close(over) }()
+			go func() { r.table.Shutdown(ctx); close(over) }()
 			r.expect("closing")
 			r.says(rpc(2, "view", "b")) // it crosses the notice
 			run.done(gate.Succeeded, 1, []byte("r"))
@@ -581,20 +581,26 @@
 }
 
 // One look gives up many that were never of use, and then none that was.
-func TestMakeRoom(t *testing.T) {
+func TestEvictSome(t *testing.T) {
 	r := start(t, 1024)
 	r.says(rpc(1, "view", "a"))
 	r.end("a")
 	r.expect("1 ok r-a")
 	sound := r.conn
-	for range front.RoomMost + 5 {
+	for range front.EvictMost + 5 {
 		r.conn = r.dial()
 		r.says("\x94\x00\x63\xa6health\x91\x80")
 		r.expect("99 health true")
 	}
+	for _, c := range r.table.All() { // an answer is heard before its server has booked it: a connection is busy until then
+		for busy := true; busy; runtime.Gosched() {
+			readily, _ := c.Room(time.Now().Add(2 * front.Crossing))
+			busy = readily == front.Busy
+		}
+	}
 	for range 2 {
-		left := len(r.table.All()) - front.RoomMost
-		for r.table.MakeRoom(); len(r.table.All()) > max(1, left); {
+		left := len(r.table.All()) - front.EvictMost
+		for r.table.EvictSome(); len(r.table.All()) > max(1, left); {
 			runtime.Gosched() // until they have ended
 		}
 	}
@@ -621,7 +627,7 @@
 }
 
 // At the end what the machine has accepted is served, too, be it still waiting for its turn at the limit.
-func TestFinishAtLimit(t *testing.T) {
+func TestShutdownAtLimit(t *testing.T) {
 	r := start(t, 0)
 	var conns []net.Conn
 	for range 20 {
@@ -631,7 +637,7 @@
 	}
 	ctx, end := context.WithTimeout(context.Background(), soon)
 	defer end()
-	go r.table.Finish(ctx)
+	go r.table.Shutdown(ctx)
 	go func() {
 		time.Sleep(4 * front.LastAccept) // the first deadline must be past while eight connections take all places
 		for range conns {
--- a/internal/front/life.go
+++ b/internal/front/state.go
@@ -1,6 +1,6 @@
 package front
 
-// This file owns what is known of one connection's life, and from it how readily it is given up. It must never write
+// This file owns what is the state of one connection, and from it how readily it is given up. It must never write
 // to the connection: what a protocol says at the end is the front's own.
 
 import (
@@ -28,8 +28,8 @@
 // it; far above the 50 ms in which an RPC may cross the notice.
 const Lingers = 1500 * time.Millisecond
 
-// Life is the life of one connection, to be embedded. Its fields are guarded by Mu.
-type Life struct {
+// ConnState is the state of one connection, to be embedded. Its fields are guarded by Mu.
+type ConnState struct {
 	net.Conn
 
 	Mu    sync.Mutex
@@ -42,42 +42,42 @@
 }
 
 // Room is how readily the connection is given up for another, and when something last came or went on it.
-func (l *Life) Room(now time.Time) (readily Readily, last time.Time) {
-	l.Mu.Lock()
-	defer l.Mu.Unlock()
-	quiet := now.Sub(l.Last) > Crossing
+func (s *ConnState) Room(now time.Time) (readily Readily, last time.Time) {
+	s.Mu.Lock()
+	defer s.Mu.Unlock()
+	quiet := now.Sub(s.Last) > Crossing
 	switch {
-	case l.Open > 0:
-		return Busy, l.Last
-	case !l.Used && (l.Spoke || quiet):
-		return Useless, l.Last
-	case !l.Used:
-		return Young, l.Last
+	case s.Open > 0:
+		return Busy, s.Last
+	case !s.Used && (s.Spoke || quiet):
+		return Useless, s.Last
+	case !s.Used:
+		return Young, s.Last
 	case quiet:
-		return Idle, l.Last
+		return Idle, s.Last
 	}
-	return Busy, l.Last
+	return Busy, s.Last
 }
 
 // Tell books that the peer is asked for no more, and tells whether that is the first time.
-func (l *Life) Tell() bool {
-	l.Mu.Lock()
-	defer l.Mu.Unlock()
-	first := l.Told.IsZero()
+func (s *ConnState) Tell() bool {
+	s.Mu.Lock()
+	defer s.Mu.Unlock()
+	first := s.Told.IsZero()
 	if first {
-		l.Told = time.Now()
+		s.Told = time.Now()
 	}
 	return first
 }
 
-// Give closes the connection unless something has come on it. What crosses that is sent again: it is not taken here.
-func (l *Life) Give(last time.Time) {
-	l.Mu.Lock()
-	l.Shut = l.Shut || l.Open == 0 && l.Last.Equal(last)
-	shut := l.Shut
-	l.Mu.Unlock()
+// Evict closes the connection unless something has come on it. What crosses that is sent again: it is not taken here.
+func (s *ConnState) Evict(last time.Time) {
+	s.Mu.Lock()
+	s.Shut = s.Shut || s.Open == 0 && s.Last.Equal(last)
+	shut := s.Shut
+	s.Mu.Unlock()
 	if shut {
-		l.Close()
+		s.Close()
 	}
 }
 
@@ -88,10 +88,10 @@
 
 // Flush ends the writing side and reads on for a moment: a close over unread bytes would reset the connection, and
 // take answers with it that the peer has not read yet.
-func (l *Life) Flush() {
-	if t, ok := l.Conn.(*net.TCPConn); ok {
+func (s *ConnState) Flush() {
+	if t, ok := s.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	l.SetReadDeadline(time.Now().Add(flushTime))
-	io.CopyN(io.Discard, l.Conn, flushMost)
+	s.SetReadDeadline(time.Now().Add(flushTime))
+	io.CopyN(io.Discard, s.Conn, flushMost)
 }
--- a/internal/front/uwsgi/bench_test.go
+++ b/internal/front/uwsgi/bench_test.go
@@ -56,7 +56,7 @@
 				conn.Close()
 				ctx, end := context.WithTimeout(context.Background(), time.Second)
 				defer end()
-				table.Finish(ctx)
+				table.Shutdown(ctx)
 			}()
 			in := bufio.NewReader(conn)
 			body := make([]byte, 256)
--- a/internal/front/uwsgi/conn.go
+++ b/internal/front/uwsgi/conn.go
@@ -36,7 +36,7 @@
 
 // conn is one connection of a web tier.
 type conn struct {
-	front.Life
+	front.ConnState
 	s      *Server
 	in     *bufio.Reader
 	vars   wire.Variables
@@ -45,7 +45,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{Life: front.Life{Conn: nc, Last: time.Now()}, s: s, done: make(chan struct{}, 1)}
+	return &conn{ConnState: front.ConnState{Conn: nc, Last: time.Now()}, s: s, done: make(chan struct{}, 1)}
 }
 
 var (
@@ -339,7 +339,7 @@
 
 func (c *conn) leaveIdle() {
 	if readily, last := c.Room(time.Now()); readily == front.Idle {
-		c.Give(last)
+		c.Evict(last)
 	}
 }
 
@@ -349,6 +349,6 @@
 	last, quiet := c.Last, c.Open == 0 && c.Used && time.Since(c.Last) > idle
 	c.Mu.Unlock()
 	if quiet {
-		c.Give(last)
+		c.Evict(last)
 	}
 }
--- a/internal/front/uwsgi/server_test.go
+++ b/internal/front/uwsgi/server_test.go
@@ -101,7 +101,7 @@
 		ctx, end := context.WithTimeout(context.Background(), time.Second)
 		defer end()
 		r.conn.Close()
-		r.table.Finish(ctx)
+		r.table.Shutdown(ctx)
 	})
 	r.dial()
 	return r
@@ -706,7 +706,7 @@
 }
 
 // SIGTERM with connections in every state: what was read is answered, the rest is closed, and it ends in time.
-func TestFinish(t *testing.T) {
+func TestShutdown(t *testing.T) {
 	r := start(t, 1024, func(f *operator.File) { f.UWSGI.SilenceMs = 100 })
 	kept := r.conn
 	r.says(get("/view", "VALVE_KEEP", "1"))
@@ -725,7 +725,7 @@
 	over := make(chan struct{})
 	ctx, end := context.WithTimeout(context.Background(), soon)
 	defer end()
-	go func() { r.table.Finish(ctx); close(over) }()
+	go func() { r.table.Shutdown(ctx); close(over) }()
 	r.until("it is over", r.table.Over)
 	r.conn, r.in = late, bufio.NewReader(late)
 	r.says(get("/view", "VALVE_KEEP", "1")) // read after it has begun
--- a/internal/lab/parity.go
+++ b/internal/lab/parity.go
@@ -186,7 +186,7 @@
 		router.Close()
 		ctx, end := context.WithTimeout(context.Background(), time.Second)
 		defer end()
-		table.Finish(ctx)
+		table.Shutdown(ctx)
 	}
 	return f, nil
 }
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -96,7 +96,7 @@
 func (s *Server) Close() {
 	fin, done := context.WithTimeout(context.Background(), time.Second)
 	defer done()
-	s.whole.Finish(fin)
+	s.whole.Shutdown(fin)
 	s.whole.Close()
 }
 
