One closing path for all connections: half-close, read on, close; a last look before the listener goes

Seen by reading: Give, Retire, Shutdown's last loop, a failed write and a silent end each closed a connection bare from whatever goroutine decided it (front/life.go Give, mprpc/conn.go Retire and write, uwsgi/conn.go write and leaveIdle, front.go Finish). Bytes that lay unread then are a reset, which takes small answers along; a closing notice could still be written after the end. Table.accept closed the listener after an Accept that ended by its deadline, which has not looked, so a connection that came with the deadline was reset. With EMFILE accept only slept, and took each descriptor that came free before the reporter and the engine's link could. Ruled out: messages taken after the decision (take looks at Shut under the lock that counts what is open). Change: ConnState has one owner, the reader, which alone closes, by Finish; all others ask by End, Evict, Rested or Cut. Both fronts write by Send, which is mute once the end has begun. A shutdown waits for resting peers for half of its time, closes them from here, and cuts what is left 10 ms before its end. A raw accept looks once more. On EMFILE the limit falls by what is reserved, and idle connections are evicted. Fronts' tests end with goleak, which found RPCs of a half-closed peer that outlived a shutdown: Cut takes their callers as gone.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,12 +18,12 @@
 
 // Conn is one connection of a front.
 type Conn interface {
-	Serve()                                           // reads until the end, and closes
+	Serve()                                           // reads until the end, and closes by ConnState.Finish
 	Room(now time.Time) (how Readily, last time.Time) // how readily it is given up, and when something last passed
-	Evict(last time.Time)                             // closes it unless something has passed since
-	Retire(idle time.Duration)                        // closes it in its protocol's way once it has been idle so long
+	Evict(last time.Time)                             // has it closed unless something has passed since
+	Retire(idle, lingers time.Duration)               // has it closed in its protocol's way once it has been idle so long, or told
 	Closing()                                         // no more RPCs are wanted on it
-	Close() error
+	Cut(by time.Time)                                 // all on it is over by then
 }
 
 // Table holds the connections of all fronts.
@@ -30,9 +31,12 @@
 	idle func() time.Duration
 	log  *logrus.Entry
 
-	permits chan struct{} // a semaphore: one for each connection that may be open
-	over    atomic.Bool   // no more RPCs are wanted: every connection is told so
-	closed  chan struct{} // once nothing is accepted any more
+	beforeLast func() // a test's: called between the end of the last accept and the last look
+
+	withheld atomic.Int32  // permits that are never used, as descriptors ran out
+	permits  chan struct{} // a semaphore: one for each connection that may be open
+	over     atomic.Bool   // no more RPCs are wanted: every connection is told so
+	closed   chan struct{} // once nothing is accepted any more
 
 	mu        sync.Mutex
 	listeners []*net.TCPListener
@@ -46,12 +50,19 @@
 	// the runtime keeps make ten; the rest is for the moments in which a closed one is not yet gone, and for
 	// the listener of a second front.
 	reserved = 24
+	// leastOpen connections are allowed, however few descriptors there are: fewer serve nobody.
+	leastOpen = 8
 	// sweepEvery is how often idle connections are looked for: a tenth of the shortest idle time in use.
 	sweepEvery = 100 * time.Millisecond
 	// roomPause is waited for a connection to make room before the next one is looked for.
 	roomPause = 10 * time.Millisecond
 	// acceptPause follows an error of accept, which would else come again at once.
 	acceptPause = 20 * time.Millisecond
+	// restEvery is how often a shutdown looks for connections that rest: a tenth of Crossing.
+	restEvery = Crossing / 10
+	// cutTime is what is left of a shutdown for closing connections as its time is over: on one machine a peer's end
+	// comes back in well under a millisecond, and the process has to be gone 20 ms after that.
+	cutTime = 10 * time.Millisecond
 	// LastAccept is how long connections are still accepted once no more are wanted. The listening socket is
 	// closed right after a look that found none: the machine may have accepted one that we have not yet, and
 	// what is written to that would be lost.
@@ -62,8 +73,8 @@
 // carry nothing.
 func NewTable(sockets int, idle func() time.Duration, log *logrus.Entry) *Table {
 	return &Table{
-		idle: idle, log: log, closed: make(chan struct{}),
-		permits: make(chan struct{}, max(8, sockets-reserved)), conns: map[Conn]struct{}{},
+		idle: idle, log: log, beforeLast: func() {}, closed: make(chan struct{}),
+		permits: make(chan struct{}, max(leastOpen, sockets-reserved)), conns: map[Conn]struct{}{},
 	}
 }
 
@@ -99,12 +110,19 @@
 		nc, err := ln.Accept()
 		if err != nil {
 			<-t.permits
-			if errors.Is(err, os.ErrDeadlineExceeded) && t.over.Load() {
+			if !errors.Is(err, os.ErrDeadlineExceeded) || !t.over.Load() {
+				t.log.WithError(err).Warn("server: accept failed")
+				if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+					t.withhold()
+				}
+				time.Sleep(acceptPause)
+				continue
+			}
+			t.beforeLast()
+			if nc = last(ln); nc == nil {
 				return
 			}
-			t.log.WithError(err).Warn("server: accept failed")
-			time.Sleep(acceptPause)
-			continue
+			t.acquire()
 		}
 		c := open(nc)
 		t.mu.Lock()
@@ -122,6 +140,45 @@
 	}
 }
 
+// withhold lowers the limit for good to what is open now less reserved, and evicts down to that. It guards against
+// descriptors that run out before the limit: without it accept would take each one that comes free, and the reporter and the
+// engine's link, which the server can't do without, would get none.
+func (t *Table) withhold() {
+	n := min(cap(t.permits)-len(t.permits)+reserved, cap(t.permits)-leastOpen-int(t.withheld.Load()))
+	for range n {
+		if t.over.Load() {
+			return
+		}
+		t.acquire()
+		t.withheld.Add(1)
+	}
+	t.log.WithField("most", cap(t.permits)-int(t.withheld.Load())).Warn("server: descriptors ran out, fewer connections from now on")
+}
+
+// last accepts a connection that the machine has accepted and that is waiting, if there is one. An Accept that ends by its
+// deadline has not looked: closing the socket then would reset one that came with the deadline.
+func last(ln *net.TCPListener) net.Conn {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	fd, no := -1, error(syscall.EINTR)
+	if err = raw.Control(func(l uintptr) {
+		for errors.Is(no, syscall.EINTR) || errors.Is(no, syscall.ECONNABORTED) {
+			fd, _, no = syscall.Accept4(int(l), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		}
+	}); err != nil || no != nil {
+		return nil
+	}
+	f := os.NewFile(uintptr(fd), "")
+	defer f.Close()
+	nc, err := net.FileConn(f)
+	if err != nil {
+		return nil
+	}
+	return nc
+}
+
 // acquire waits for a permit for one more connection.
 func (t *Table) acquire() {
 	select {
@@ -152,7 +209,7 @@
 		}
 		idle := t.idle()
 		for _, c := range t.All() {
-			c.Retire(idle)
+			c.Retire(idle, Lingers)
 		}
 	}
 }
@@ -161,12 +218,16 @@
 // connections for each new one took a fifth of the server's time.
 const EvictMost = 16
 
+// endingMost is how many idle connections may be on their way out at once: each takes lingerEvicted where its peer does
+// not close, so eighty new ones a second get in however many rest.
+const endingMost = 4
+
 // EvictSome gives up the connections that are missed least. Those that were never of use go first, however many: else
 // a crowd of them would keep sound peers out. Without any, it is the one that has been idle for longest.
 func (t *Table) EvictSome() {
 	var longest Conn
 	var since time.Time
-	given, wait, now := 0, false, time.Now()
+	given, ending, wait, now := 0, 0, false, time.Now()
 	for _, c := range t.All() {
 		readily, last := c.Room(now)
 		switch {
@@ -175,11 +236,13 @@
 			given++
 		case readily == Young:
 			wait = true
+		case readily == Ending:
+			ending++
 		case readily == Idle && (longest == nil || last.Before(since)):
 			longest, since = c, last
 		}
 	}
-	if given == 0 && !wait && longest != nil {
+	if given == 0 && ending < endingMost && !wait && longest != nil {
 		longest.Evict(since)
 	}
 }
@@ -195,8 +258,10 @@
 	return all
 }
 
-// Shutdown stops accepting, asks for no more RPCs on any connection, waits until all that was read has been
-// answered and the connections are closed, or ctx ends, and closes what is left.
+// Shutdown stops accepting, asks for no more RPCs on any connection, and waits until all that was read has been answered and
+// the connections are closed, or ctx ends. A peer that rests on its connection is waited for half of the time; then the
+// connection is closed from here, so that there is time left to read what crosses that. What is left as ctx ends is closed
+// within cutTime.
 func (t *Table) Shutdown(ctx context.Context) {
 	t.over.Store(true)
 	t.mu.Lock()
@@ -208,20 +273,45 @@
 	for _, c := range t.All() {
 		c.Closing()
 	}
-	if !none {
+	rest := time.Now().Add(Lingers)
+	if by, ok := ctx.Deadline(); ok {
+		rest = time.Now().Add(min(Lingers, time.Until(by)/2))
+	}
+	done := make(chan struct{})
+	go func() {
+		if !none {
+			<-t.closed
+		}
+		t.wg.Wait()
+		close(done)
+	}()
+	look := time.NewTicker(restEvery)
+	defer look.Stop()
+	for {
 		select {
-		case <-t.closed:
+		case <-done:
+			return
+		case <-look.C:
+			lingers := Lingers
+			if time.Now().After(rest) {
+				lingers = Crossing
+			}
+			for _, c := range t.All() {
+				c.Retire(0, lingers)
+			}
+			continue
 		case <-ctx.Done():
 		}
+		break
 	}
-	done := make(chan struct{})
-	go func() { t.wg.Wait(); close(done) }()
+	by := time.Now().Add(cutTime)
+	for _, c := range t.All() {
+		c.Cut(by)
+	}
+	last := time.NewTimer(cutTime + cutTime/2)
+	defer last.Stop()
 	select {
 	case <-done:
-		return
-	case <-ctx.Done():
-	}
-	for _, c := range t.All() {
-		c.Close()
+	case <-last.C:
 	}
 }
--- a/internal/front/mprpc/conn.go
+++ b/internal/front/mprpc/conn.go
@@ -25,7 +25,6 @@
 	crowded   = 500                   // ms to stay away for one past that: the others are answered by then
 	pointless = 40                    // messages in a row without a sound RPC: more than the cancels that cross answers
 	slowdown  = 20 * time.Millisecond // before each one after those: fifty a second cost little
-	writeTime = 15 * time.Second      // for one answer: past the deadlines told so far, so only a dead caller meets it
 )
 
 // conn is one connection of a router.
@@ -34,9 +33,9 @@
 	s               *Server
 	wg              sync.WaitGroup // of the goroutines beside the reader
 
-	open    map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered; guarded by Mu
-	writing sync.Mutex
-	faults  int // messages in a row without a sound RPC; the reader's own
+	open   map[uint64]*gate.Ticket // by message id; nil while a check or an error is answered; guarded by Mu
+	over   bool                    // no goroutine begins beside the reader any more; guarded by Mu
+	faults int                     // messages in a row without a sound RPC; the reader's own
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -54,15 +53,18 @@
 	case errors.Is(err, io.EOF): // the peer may still read: all that came whole is answered
 	case errors.As(err, &lost):
 		c.leave() // nobody is left to answer
+	case err == errEnded: // from here; what is open, as after a write that failed, has nobody to answer to
+		c.leave()
 	case err == errSilent:
 		c.s.log.WithField("peer", c.RemoteAddr()).Info("server: silent connection closed")
 	default:
 		c.s.log.WithField("peer", c.RemoteAddr()).WithError(err).Warn("server: broken frame, connection closed")
-		c.wg.Wait()
-		c.Flush()
 	}
+	c.Mu.Lock()
+	c.over = true
+	c.Mu.Unlock()
 	c.wg.Wait()
-	c.Close()
+	c.Finish()
 }
 
 // leave takes the callers of all that is open as gone.
@@ -83,6 +85,7 @@
 var (
 	errRepeated = errors.New("message id is open already")
 	errSilent   = errors.New("no message came whole in time")
+	errEnded    = errors.New("the connection is closed from here")
 )
 
 // read takes messages until an error; io.EOF is a clean end. Frames are parsed in the reader's buffer.
@@ -98,13 +101,15 @@
 	// A message that has begun must come whole in time, and so must the first: who says nothing, or never
 	// comes to an end, must not keep a descriptor.
 	timed := true
-	c.SetReadDeadline(time.Now().Add(c.s.silence))
+	c.ReadBy(time.Now().Add(c.s.silence))
 	for {
 		_, err := in.Peek(need)
 		b, _ := in.Peek(in.Buffered())
 		switch {
 		case err == io.EOF && len(b) > 0:
 			return errors.New("the connection ended within a message")
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.Ended():
+			return errEnded
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return errSilent
 		case err != nil:
@@ -115,7 +120,7 @@
 		case nil:
 			if timed {
 				timed = false
-				c.SetReadDeadline(time.Time{})
+				c.ReadBy(time.Time{})
 			}
 			if err := c.take(m); err != nil {
 				return err
@@ -129,7 +134,7 @@
 			need = size
 			if !timed {
 				timed = true
-				c.SetReadDeadline(time.Now().Add(c.s.silence))
+				c.ReadBy(time.Now().Add(c.s.silence))
 			}
 		default:
 			c.broken(b, err.Error())
@@ -142,11 +147,17 @@
 func (c *conn) broken(b []byte, why string) {
 	id, ok := numberOf(b)
 	c.Mu.Lock()
-	_, taken := c.open[id]
-	ok = ok && !taken && !c.Shut
+	if _, taken := c.open[id]; taken || c.Shut {
+		ok = false
+	}
+	if ok { // it is not closed for another while this is being written
+		c.open[id] = nil
+		c.Open = len(c.open)
+	}
 	c.Mu.Unlock()
 	if ok {
 		c.write(failure(id, "Invalid", why))
+		c.done(id)
 	}
 }
 
@@ -165,7 +176,7 @@
 	c.faults++
 	switch {
 	case shut:
-		return &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+		return errEnded
 	case m.kind == typeNotice:
 		if string(m.method) == "cancel" {
 			for _, id := range parseCancel(m.params) {
@@ -220,7 +231,11 @@
 	c.Mu.Lock()
 	c.open[id], c.Used = t, true
 	c.Open = len(c.open)
+	shut := c.Shut
 	c.Mu.Unlock()
+	if shut { // it ended before the ticket could be seen
+		t.Lost()
+	}
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
@@ -257,37 +272,44 @@
 	}
 }
 
-// write sends one message in parts. An error ends the connection: nobody is left to answer.
+// write sends one message in parts. If that fails nobody is left to answer.
 func (c *conn) write(parts ...[]byte) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	c.SetWriteDeadline(time.Now().Add(writeTime))
-	b := net.Buffers(parts)
-	if _, err := b.WriteTo(c.Conn); err != nil {
-		c.Close()
+	if !c.Send(parts...) {
 		c.leave()
 	}
 }
 
+// Cut ends the connection as the process does: what is unanswered by then has lost its caller.
+func (c *conn) Cut(by time.Time) {
+	c.ConnState.Cut(by)
+	c.leave()
+}
+
 // Closing asks the router for no more RPCs here.
 func (c *conn) Closing() {
-	if c.Tell() {
-		go c.write(closingNotice()) // a caller that reads slowly must not hold up the one who asks
+	if !c.Tell() {
+		return
+	}
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	if c.over { // it is being closed
+		return
 	}
+	c.wg.Add(1)
+	go func() { // a caller that reads slowly must not hold up the one who asks
+		defer c.wg.Done()
+		c.write(closingNotice())
+	}()
 }
 
 // Retire closes a connection that has carried nothing for so long: first it is told, then its router closes
 // it, and if that does not come it is closed from here.
-func (c *conn) Retire(idle time.Duration) {
+func (c *conn) Retire(idle, lingers time.Duration) {
 	c.Mu.Lock()
-	quiet, told := time.Since(c.Last), c.Told
-	c.Shut = c.Shut || len(c.open) == 0 && !told.IsZero() && quiet > front.Lingers && time.Since(told) > front.Lingers
-	ask, shut := len(c.open) == 0 && told.IsZero() && quiet > idle, c.Shut
+	ask := len(c.open) == 0 && c.Told.IsZero() && time.Since(c.Last) > idle
 	c.Mu.Unlock()
 	if ask {
 		c.Closing()
 	}
-	if shut {
-		c.Close()
-	}
+	c.Rested(lingers)
 }
--- a/internal/front/mprpc/server_test.go
+++ b/internal/front/mprpc/server_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
 
 	"sorrelvalve/control"
 	"sorrelvalve/internal/front"
@@ -21,6 +22,8 @@
 	"sorrelvalve/internal/opening"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // soon bounds what must come at once; it is long only so that a busy machine fails no test.
 const soon = 10 * time.Second
 
@@ -34,6 +37,7 @@
 	conn  net.Conn
 	buf   []byte
 	runs  chan running
+	over  chan struct{} // closed at the end of the test
 }
 
 type running struct {
@@ -54,7 +58,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r := &rig{T: t, addr: ln.Addr().String(), runs: make(chan running, 1000)}
+	r := &rig{T: t, addr: ln.Addr().String(), runs: make(chan running, 1000), over: make(chan struct{})}
 	r.g = gate.New(o, 64, func(string, string) {})
 	r.g.Start(false, 0)
 	entry := log.WithField("node", "n0")
@@ -79,6 +83,7 @@
 		defer end()
 		r.conn.Close()
 		r.table.Shutdown(ctx)
+		close(r.over)
 	})
 	r.conn = r.dial()
 	return r
@@ -250,8 +255,13 @@
 				}
 			}
 			go func() {
-				for run := range r.runs {
-					run.done(gate.Succeeded, 1, []byte("r-"+run.body))
+				for {
+					select {
+					case run := <-r.runs:
+						run.done(gate.Succeeded, 1, []byte("r-"+run.body))
+					case <-r.over:
+						return
+					}
 				}
 			}()
 			r.says(rpc(400, "view", "b"))
@@ -685,3 +695,33 @@
 		}
 	})
 }
+
+// What comes once a connection is to be closed from here is not run and resets nothing: its caller reads what it was
+// answered before, and then the end.
+func TestCrossingClose(t *testing.T) {
+	r := start(t, 1024)
+	r.says(rpc(1, "view", "a"))
+	r.end("a")
+	r.expect("1 ok r-a")
+	c := r.table.All()[0].(*conn)
+	c.Mu.Lock()
+	c.Shut = true // decided, and its reader has yet to be woken
+	c.Mu.Unlock()
+	crossing := ""
+	for id := range uint64(40) { // more than one read takes
+		crossing += rpc(2+id, "view", strings.Repeat("b", maxBody))
+	}
+	r.says(crossing)
+	if got := r.next(); got != "" {
+		t.Errorf("read %q", got)
+	}
+	r.conn.Close()
+	for len(r.table.All()) > 0 {
+		runtime.Gosched()
+	}
+	select {
+	case run := <-r.runs:
+		t.Errorf("%s was run", run.id)
+	default:
+	}
+}
--- a/internal/front/uwsgi/conn.go
+++ b/internal/front/uwsgi/conn.go
@@ -26,7 +26,6 @@
 	firstBody  = 16 << 10              // set aside at once for a body; the rest as it comes, as lengths may lie
 	pointless  = 40                    // messages in a row without a sound RPC
 	slowdown   = 20 * time.Millisecond // before each one after those
-	writeTime  = 15 * time.Second      // for one answer: past the deadlines told so far, so only a dead peer meets it
 	bodyAway   = 250.0                 // ms to stay away where all bodies take more than they may: some answers later
 	crossing   = front.Crossing        // an idle connection is closed no sooner after the drain has begun
 
@@ -40,6 +39,7 @@
 	s      *Server
 	in     *bufio.Reader
 	vars   wire.Variables
+	ticket *gate.Ticket  // of the RPC in hand; guarded by Mu
 	done   chan struct{} // has a value once the RPC beside the reader has been answered
 	faults int           // messages in a row without a sound RPC
 }
@@ -56,7 +56,7 @@
 
 // Serve reads messages, one RPC after the other, until the connection ends.
 func (c *conn) Serve() {
-	defer c.Close()
+	defer c.Finish()
 	defer func() {
 		if v := recover(); v != nil {
 			c.s.log.WithField("panic", v).WithField("stack", string(debug.Stack())).Error("server: panic on a connection")
@@ -68,9 +68,7 @@
 		switch {
 		case err == nil:
 			continue
-		case err == errEnd:
-			c.Flush()
-		case err == errSilent:
+		case err == errSilent && !c.Ended():
 			c.s.log.WithField("peer", c.RemoteAddr()).Info("server: silent connection closed")
 		case err == errCut:
 			c.s.log.WithField("peer", c.RemoteAddr()).Info("uwsgi: peer left within a message")
@@ -83,7 +81,7 @@
 func (c *conn) message(first bool) error {
 	v := c.s.view.Load()
 	if first {
-		c.SetReadDeadline(time.Now().Add(operator.Ms(v.limits.SilenceMs)))
+		c.ReadBy(time.Now().Add(operator.Ms(v.limits.SilenceMs)))
 	}
 	if _, err := c.in.Peek(1); err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -92,7 +90,7 @@
 		return err
 	}
 	began := time.Now()
-	c.SetReadDeadline(began.Add(operator.Ms(v.limits.SilenceMs)))
+	c.ReadBy(began.Add(operator.Ms(v.limits.SilenceMs)))
 	head, err := c.in.Peek(wire.HeadSize)
 	if err != nil {
 		return cut(err)
@@ -138,18 +136,18 @@
 		c.s.bodies.Add(-taken)
 		c.spoken()
 		away := gate.Verdict{Answer: gate.PushedBack, Away: c.s.gate.Advice(bodyAway)}
-		c.write(failHead(&away, false))
+		c.Send(failHead(&away, false))
 		return errEnd
 	}
 	defer c.s.bodies.Add(-taken)
-	c.SetReadDeadline(time.Now().Add(operator.Ms(v.limits.BodyMs)))
+	c.ReadBy(time.Now().Add(operator.Ms(v.limits.BodyMs)))
 	body, err := c.body(m.length)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return c.senseless(&wrong{status: 400, why: "CONTENT_LENGTH: so much did not come in time"}, false)
 	} else if err != nil {
 		return cut(err)
 	}
-	c.SetReadDeadline(time.Time{})
+	c.ReadBy(time.Time{})
 	door := found.Door
 	if door == 0 {
 		door = float64(began.UnixNano()) / 1e6
@@ -175,8 +173,12 @@
 	}
 	c.faults = 0
 	c.Mu.Lock()
-	c.Used = true
+	c.Used, c.ticket = true, t
+	shut = c.Shut
 	c.Mu.Unlock()
+	if shut { // cut before the ticket could be seen
+		t.Lost()
+	}
 	work := gate.Work{ID: rpc.ID, Method: rpc.Method, Body: body, Due: t.Due(), Variables: block, Caller: gate.CallerOf(&rpc)}
 	verdict, there := t.Now()
 	if there && verdict.Answer != gate.Run { // decided at once, as most in overload: no need for a goroutine
@@ -188,9 +190,9 @@
 			if p := recover(); p != nil {
 				c.s.log.WithField("panic", p).WithField("stack", string(debug.Stack())).Error("server: panic on an RPC")
 				t.Lost()
-				c.write(failHead(&gate.Verdict{Answer: gate.Aborted, Why: "a fault of the server"}, false))
+				c.Send(failHead(&gate.Verdict{Answer: gate.Aborted, Why: "a fault of the server"}, false))
 			}
-			c.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, should it watch
+			c.ReadBy(time.Unix(1, 0)) // wakes the reader, should it watch
 			c.done <- struct{}{}
 		}()
 		for !there || verdict.Answer == gate.Run {
@@ -203,7 +205,7 @@
 	}()
 	c.watch(t, v.limits.HalfClose)
 	<-c.done
-	c.SetReadDeadline(time.Time{})
+	c.ReadBy(time.Time{})
 	return c.end(keep)
 }
 
@@ -233,17 +235,17 @@
 	switch v.Answer {
 	case gate.OK:
 		head, body := okHead(v, verb, kind, keep)
-		return c.write(head, body) && keep
+		return c.Send(head, body) && keep
 	case gate.Gone: // nothing is owed, and nobody reads
 		return false
 	}
-	return c.write(failHead(v, keep)) && keep
+	return c.Send(failHead(v, keep)) && keep
 }
 
 // end books that a message has been dealt with.
 func (c *conn) end(keep bool) error {
 	c.Mu.Lock()
-	c.Open, c.Last = 0, time.Now()
+	c.Open, c.Last, c.ticket = 0, time.Now(), nil
 	c.Mu.Unlock()
 	if !keep {
 		return errEnd
@@ -265,7 +267,7 @@
 	if c.faults++; c.faults > pointless {
 		time.Sleep(slowdown)
 	}
-	return c.end(c.write(wrongHead(w, keep)) && keep && !c.s.table.Over())
+	return c.end(c.Send(wrongHead(w, keep)) && keep && !c.s.table.Over())
 }
 
 // ping answers a check: with the protocol's own packet if health is good, else with the end of the connection.
@@ -273,7 +275,7 @@
 	c.spoken()
 	c.in.Discard(wire.HeadSize)
 	if c.s.gate.Good() {
-		c.write(wire.AppendHead(nil, pingModifier, 0, 1))
+		c.Send(wire.AppendHead(nil, pingModifier, 0, 1))
 	}
 	return errEnd
 }
@@ -318,37 +320,28 @@
 	}
 }
 
-// write sends one answer in parts and tells whether that went well.
-func (c *conn) write(parts ...[]byte) bool {
-	c.SetWriteDeadline(time.Now().Add(writeTime))
-	b := net.Buffers(parts)
-	if _, err := b.WriteTo(c.Conn); err != nil {
-		c.Close()
-		return false
+// Cut ends the connection as the process does: an RPC that is unanswered by then has lost its caller.
+func (c *conn) Cut(by time.Time) {
+	c.ConnState.Cut(by)
+	c.Mu.Lock()
+	t := c.ticket
+	c.Mu.Unlock()
+	if t != nil {
+		t.Lost()
 	}
-	return true
 }
 
 // Closing asks for no more: the protocol has no word for it, so a connection that is kept is closed after its answer,
-// or once it has been idle for as long as an RPC may be on its way.
-func (c *conn) Closing() {
-	if c.Tell() {
-		time.AfterFunc(crossing, c.leaveIdle)
-	}
-}
-
-func (c *conn) leaveIdle() {
-	if readily, last := c.Room(time.Now()); readily == front.Idle {
-		c.Evict(last)
-	}
-}
+// or by Retire once it has been idle for as long as an RPC may be on its way.
+func (c *conn) Closing() { c.Tell() }
 
 // Retire closes a connection that has been idle for so long.
-func (c *conn) Retire(idle time.Duration) {
+func (c *conn) Retire(idle, _ time.Duration) {
+	c.Rested(crossing)
 	c.Mu.Lock()
 	last, quiet := c.Last, c.Open == 0 && c.Used && time.Since(c.Last) > idle
 	c.Mu.Unlock()
-	if quiet {
+	if quiet && !c.s.table.Over() {
 		c.Evict(last)
 	}
 }
--- a/internal/front/uwsgi/server_test.go
+++ b/internal/front/uwsgi/server_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
 
 	"sorrelvalve/internal/front"
 	"sorrelvalve/internal/front/mprpc"
@@ -22,6 +23,8 @@
 	wire "sorrelvalve/internal/uwsgi"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // soon bounds what must come at once; it is long only so that a busy machine fails no test.
 const soon = 10 * time.Second
 
@@ -36,6 +39,7 @@
 	conn  net.Conn
 	in    *bufio.Reader
 	runs  chan running
+	over  chan struct{} // closed at the end of the test
 }
 
 type running struct {
@@ -76,7 +80,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	log := logger.WithField("node", "n0")
-	r := &rig{T: t, runs: make(chan running, 1000)}
+	r := &rig{T: t, runs: make(chan running, 1000), over: make(chan struct{})}
 	r.g = gate.New(o, 64, func(string, string) {})
 	r.g.Start(false, 0)
 	r.table = front.NewTable(sockets, r.g.Idle, log)
@@ -102,6 +106,7 @@
 		defer end()
 		r.conn.Close()
 		r.table.Shutdown(ctx)
+		close(r.over)
 	})
 	r.dial()
 	return r
@@ -750,8 +755,13 @@
 func TestChurn(t *testing.T) {
 	r := start(t, 1024)
 	go func() {
-		for run := range r.runs {
-			go run.end(string(run.Body))
+		for {
+			select {
+			case run := <-r.runs:
+				go run.end(string(run.Body))
+			case <-r.over:
+				return
+			}
 		}
 	}()
 	var wg sync.WaitGroup
