Reports say what holds as they are written, and a service that reorders them is told again

Seen by reading members.go: Serve took up before the dial, so a drain that began while a report was dialled was followed by an UP written after the OUT; up to four reports go on connections of their own, so a service may take them in another order, and the server stayed listed until the next one, 800 ms later; with four unanswered a change was dropped until the timer; dial and answer had a second each, so a service to which each dial takes longer never heard anything. Change: the phase is read under a lock as it is written; where a report ends that said what holds no longer, what holds is reported at once; one place of four is kept for changes, and the oldest makes way for more; 2.4 s for dial and answer together, three reports' time. Serve waits for its exchanges, and the daemon's Close for reporter, engine's link and ticks.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,8 @@
 	Gate *gate.Gate
 
 	ctx    context.Context
-	ends   []func() // the last first
+	ends   []func()       // the last first
+	wg     sync.WaitGroup // of what serves until ctx ends
 	log    *logrus.Entry
 	table  *front.Table
 	link   *engine.Link
@@ -130,7 +132,7 @@
 			x.Close()
 		}
 	}()
-	x.ends = append(x.ends, end)
+	x.ends = append(x.ends, func() { end(); x.wg.Wait() })
 	g := gate.New(&settings, p.MemoryMB, func(text, detail string) {
 		if detail == "" {
 			log.Info(text)
@@ -191,13 +193,12 @@
 		}
 	}
 	srv := mprpc.New(x.table, g, run, log)
-	up := func() (up, known bool) { return g.Good(), g.Started() }
-	go link.Serve(ctx)
+	x.serves(link.Serve)
 	if p.Members != "" {
-		x.report = members.New(p.Members, p.Name, log, up, g.Changed())
-		go x.report.Serve(ctx)
+		x.report = members.New(p.Members, p.Name, log, g.Good, g.Started, g.Changed())
+		x.serves(x.report.Serve)
 	}
-	go tick(ctx, g, link)
+	x.serves(func(ctx context.Context) { tick(ctx, g, link) })
 	x.table.Listen(ln.(*net.TCPListener), srv.Open)
 	if x.more != nil {
 		x.more.listen(x.table)
@@ -205,6 +206,15 @@
 	return x, nil
 }
 
+// serves has a part serve beside the others, to be waited for at the end.
+func (x *Server) serves(part func(context.Context)) {
+	x.wg.Add(1)
+	go func() {
+		defer x.wg.Done()
+		part(x.ctx)
+	}()
+}
+
 // Close ends all parts. What is in hand is not waited for: Shutdown does that.
 func (x *Server) Close() {
 	for i := len(x.ends) - 1; i >= 0; i-- {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -12,19 +12,23 @@
 	"io"
 	"math/rand"
 	"net"
-	"os"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 )
 
 const (
-	every   = 800 * time.Millisecond // three reports within the 3 s after which an entry lapses
-	timeout = time.Second            // for one report: a service that answers later is of no use
-	most    = 4                      // reports on their way: two at the usual pace, and two changes between
-	minWait = 50 * time.Millisecond  // after a failed report, doubling
+	every = 800 * time.Millisecond // three reports within the 3 s after which an entry lapses
+	// timeout is for one report, dial and answer together. One that is written late still counts within the 3 s, so
+	// a service to which each dial takes seconds hears one after the other.
+	timeout = 3 * every
+	paced   = 3                     // reports on their way at the usual pace: none has had an answer then
+	most    = paced + 1             // with one for a change
+	minWait = 50 * time.Millisecond // after a failed report, doubling
 	maxWait = every
 	maxHead = 8 << 10 // of an answer
 	maxBody = 64 << 10
@@ -34,14 +38,22 @@
 type Reporter struct {
 	addr, name string
 	log        *logrus.Entry
-	up         func() (up, known bool) // what to report, if there is anything to report yet
-	changed    <-chan struct{}         // has a value after that has changed
+	up         func() bool     // what to report
+	known      func() bool     // whether there is anything to report yet
+	changed    <-chan struct{} // has a value after that has changed
 	moved      chan string
+
+	// A report says what holds as it is written, not as it was begun: between the two its dial may take seconds, and
+	// another report may have been written. The lock makes the order of writing that of what held.
+	writing sync.Mutex
+
+	every time.Duration
+	dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
-// New returns a reporter to the service at addr.
-func New(addr, name string, log *logrus.Entry, up func() (up, known bool), changed <-chan struct{}) *Reporter {
-	return &Reporter{addr: addr, name: name, log: log, up: up, changed: changed, moved: make(chan string)}
+// New returns a reporter to the service at addr. up and known may be called from several goroutines.
+func New(addr, name string, log *logrus.Entry, up, known func() bool, changed <-chan struct{}) *Reporter {
+	return &Reporter{addr: addr, name: name, log: log, up: up, known: known, changed: changed, moved: make(chan string), every: every, dial: new(net.Dialer).DialContext}
 }
 
 // Move has all reports from now on sent to another address of the service.
@@ -57,21 +69,29 @@
 	addr string
 	conn net.Conn // nil for a new one
 	in   *bufio.Reader
+	end  context.CancelFunc
 	sent bool // whole: the service may have counted it
+	up   bool // what it said
 	keep bool // answered in full: the connection can carry another
 	err  error
 }
 
 // Serve reports until ctx ends. Each report is an exchange of its own beside this loop, so that one without an
-// answer holds up neither the next nor a change.
+// answer holds up neither the next nor a change. The service may take reports that are on their way in another order than
+// they were written in: where one ends that said what holds no longer, what holds is reported once more.
 func (r *Reporter) Serve(ctx context.Context) {
 	var kept *exchange // its connection is free
 	defer func() { kept.close() }()
-	ended, out := make(chan *exchange), 0
+	ended := make(chan *exchange)
+	var out []*exchange // the oldest first
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	wait := minWait
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	owed := false // a change has yet to be reported
 	for {
+		change := owed
 		select {
 		case <-ctx.Done():
 			return
@@ -79,46 +99,57 @@
 			if addr == r.addr {
 				continue
 			}
-			r.addr = addr
+			r.addr, change = addr, true
 			kept.close()
 			kept = nil
 		case <-r.changed:
+			change = true
 		case <-timer.C:
 		case x := <-ended:
-			out--
-			switch {
-			case x.keep && kept == nil && x.addr == r.addr:
+			out = slices.DeleteFunc(out, func(o *exchange) bool { return o == x })
+			if x.keep && kept == nil && x.addr == r.addr {
 				kept = x
-			default:
+			} else {
 				x.close()
 			}
 			if x.err == nil {
 				wait = minWait
-				continue
+			} else {
+				r.log.WithError(x.err).Warn("members: report failed")
+				if !x.sent && x.addr == r.addr { // one that was sent may have counted: the next comes at its time
+					timer.Reset(wait/2 + time.Duration(rand.Int63n(int64(wait)))) // half to one and a half of it
+					wait = min(maxWait, 2*wait)
+				}
 			}
-			r.log.WithError(x.err).Warn("members: report failed")
-			if !x.sent && x.addr == r.addr { // one that was sent may have counted: the next comes at its time
-				timer.Reset(wait/2 + time.Duration(rand.Int63n(int64(wait)))) // half to one and a half of it
-				wait = min(maxWait, 2*wait)
+			if stale := x.sent && x.up != r.up(); !stale && !owed {
+				continue
 			}
-			continue
+			change = true
 		}
-		up, known := r.up()
-		if !known {
+		if !r.known() {
 			timer.Reset(minWait)
 			continue
 		}
-		timer.Reset(every)
-		if out == most { // each ends within its time, and the timer comes again
+		timer.Reset(r.every)
+		if len(out) >= paced && !change { // each ends within its time, and the timer comes again
+			continue
+		}
+		if owed = len(out) == most; owed { // the oldest makes way, and what is owed goes out once it has ended
+			out[0].end()
 			continue
 		}
 		x := &exchange{addr: r.addr}
 		if kept != nil {
 			x, kept = kept, nil
 		}
-		out++
+		its, end := context.WithTimeout(ctx, timeout)
+		x.end = end
+		out = append(out, x)
+		wg.Add(1)
 		go func() {
-			x.report(ctx, r.name, up)
+			defer wg.Done()
+			defer end()
+			r.report(its, x)
 			select {
 			case ended <- x:
 			case <-ctx.Done():
@@ -136,46 +167,56 @@
 }
 
 // report sends one report. A connection that was kept may have been closed meanwhile, so that is tried once more.
-func (x *exchange) report(ctx context.Context, name string, up bool) {
+func (r *Reporter) report(ctx context.Context, x *exchange) {
 	kept := x.conn != nil
-	code := x.put(ctx, name, up)
-	if x.err != nil && kept && ctx.Err() == nil && !errors.Is(x.err, os.ErrDeadlineExceeded) {
+	code := r.put(ctx, x)
+	if x.err != nil && kept && ctx.Err() == nil {
 		x.close()
-		code = x.put(ctx, name, up)
+		code = r.put(ctx, x)
 	}
 	if x.err == nil && (code < 200 || code > 299) {
 		x.err = fmt.Errorf("status %d", code)
 	}
 }
 
-// put sends one report and returns the status of its answer.
-func (x *exchange) put(ctx context.Context, name string, up bool) (code int) {
+// put sends one report and returns the status of its answer. All of it ends with ctx.
+func (r *Reporter) put(ctx context.Context, x *exchange) (code int) {
 	x.sent, x.keep = false, false
 	if x.conn == nil {
-		d := net.Dialer{Timeout: timeout}
-		if x.conn, x.err = d.DialContext(ctx, "tcp", x.addr); x.err != nil {
+		if x.conn, x.err = r.dial(ctx, "tcp", x.addr); x.err != nil {
 			x.conn = nil
 			return 0
 		}
 		x.in = bufio.NewReaderSize(x.conn, 1<<10)
 	}
 	conn := x.conn
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	phase := "OUT"
-	if up {
-		phase = "UP"
-	}
-	body := `{"phase":"` + phase + `"}`
-	x.conn.SetDeadline(time.Now().Add(timeout))
-	_, x.err = fmt.Fprintf(x.conn, "PUT /members/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"+
-		"Content-Length: %d\r\n\r\n%s", name, x.addr, len(body), body)
-	if x.err == nil {
+	conn.SetDeadline(time.Time{})
+	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })()
+	if x.err = r.write(ctx, x); x.err == nil {
 		x.sent = true
 		code, x.keep, x.err = readAnswer(x.in)
 	}
 	return code
 }
 
+// write writes what holds now. It does not wait: a connection that is new or was answered in full takes so little at once.
+func (r *Reporter) write(ctx context.Context, x *exchange) error {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	x.up = r.up()
+	phase := "OUT"
+	if x.up {
+		phase = "UP"
+	}
+	body := `{"phase":"` + phase + `"}`
+	_, err := fmt.Fprintf(x.conn, "PUT /members/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"+
+		"Content-Length: %d\r\n\r\n%s", r.name, x.addr, len(body), body)
+	return err
+}
+
 var errAnswer = errors.New("not an HTTP/1.1 answer")
 
 // readAnswer reads one answer with its body and tells whether the connection can be used again.
