--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -36,7 +36,7 @@
 
 // The stand-in engine and an operator's record work together: uwsgi before the stand-in.
 func TestStandInWithRecord(t *testing.T) {
-	ln := listen(t)
+	ln := loopback(t)
 	addr := ln.Addr().String()
 	ln.Close()
 	u := &operator.UWSGI{Listen: addr, Keep: "asked", BlockBytes: 16384, Variables: 128, PathBytes: 4096, BodyBytes: 65536, BodiesKB: 8192, SilenceMs: 2000, BodyMs: 5000, HeldKB: 16}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -105,9 +104,13 @@
 	if absent := mprpc.Absent(p.Opening); len(absent) > 0 {
 		log.WithField("absent", strings.Join(absent, ", ")).Warn("server: not carried by this protocol")
 	}
-	ln, err := net.Listen("tcp", p.Listen)
+	ln, err := listen(p.Listen, stop, func() { log.WithField("listen", p.Listen).Warn("serve: waits for the address, which is in use") })
+	if err == errStopped {
+		log.Info("serve: told to stop before it began")
+		return nil
+	}
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
 	x, err := New(t, ln, log, extra)
 	if err != nil {
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"sorrelvalve/internal/msgpack"
 	"sorrelvalve/internal/opening"
 	"sorrelvalve/internal/operator"
@@ -26,6 +28,8 @@
 
 const soon = 10 * time.Second // bounds what must come at once
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // answering is an engine that ends each run at once with its body as the result, but for bodies that say to wait:
 // these end when wait is closed.
 func answering(ln net.Listener, wait <-chan struct{}) {
@@ -109,7 +113,7 @@
 	return b.b.String()
 }
 
-func listen(t *testing.T) net.Listener {
+func loopback(t *testing.T) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -121,9 +125,9 @@
 func start(t *testing.T, stopMs int, change ...func(w *whole)) *whole {
 	w := &whole{
 		T: t, wait: make(chan struct{}), stop: make(chan os.Signal, 2), reread: make(chan os.Signal), loaded: make(chan struct{}, 100), over: make(chan error, 1),
-		file: filepath.Join(t.TempDir(), "config.json"), engine: listen(t), phases: make(chan string, 100),
+		file: filepath.Join(t.TempDir(), "config.json"), engine: loopback(t), phases: make(chan string, 100),
 	}
-	own := listen(t)
+	own := loopback(t)
 	addr := own.Addr().String()
 	own.Close()
 	go answering(w.engine, w.wait)
@@ -275,7 +279,7 @@
 	w.reported("second UP")
 	w.stop <- syscall.SIGTERM
 	w.reported("second OUT")
-	next, on := listen(t), make(chan struct{})
+	next, on := loopback(t), make(chan struct{})
 	close(on)
 	go answering(next, on) // which ends the run that the first one holds
 	w.reload(w.engine.Addr().String(), next.Addr().String())
@@ -298,7 +302,7 @@
 // operated gives the server an operator's record with a front, and a pool for one of its methods where a member is named.
 func operated(members ...string) func(w *whole) {
 	return func(w *whole) {
-		own := listen(w.T)
+		own := loopback(w.T)
 		w.web = own.Addr().String()
 		own.Close()
 		w.record = filepath.Join(w.TempDir(), "operator.record")
@@ -498,3 +502,41 @@
 		t.Error(err)
 	}
 }
+
+// A port that another process still holds is waited for, and taken as soon as it is free; a signal to stop ends the wait.
+func TestAddressInUse(t *testing.T) {
+	held := loopback(t)
+	waits := make(chan struct{}, 1)
+	type taken struct {
+		ln  net.Listener
+		err error
+	}
+	over := make(chan taken, 1)
+	stop := make(chan os.Signal, 1)
+	begin := func() {
+		go func() {
+			ln, err := listen(held.Addr().String(), stop, func() { waits <- struct{}{} })
+			over <- taken{ln, err}
+		}()
+		<-waits
+	}
+	begin()
+	stop <- syscall.SIGTERM
+	if got := <-over; got.err != errStopped {
+		t.Errorf("error %v after a signal to stop", got.err)
+	}
+	begin()
+	held.Close()
+	select {
+	case got := <-over:
+		if got.err != nil {
+			t.Fatal(got.err)
+		}
+		got.ln.Close()
+	case <-time.After(soon):
+		t.Fatal("the address is not taken")
+	}
+	if _, err := listen("192.0.2.1:1", stop, func() { t.Error("waits for an address that is not here") }); err == nil {
+		t.Error("took an address that is not here")
+	}
+}
