A drain that begins before the engine has started is known to the decisions; a lost ATTACH is sent anew

Seen by reading: Gate.Drain told the decisions only if they had begun, so with an engine that starts after SIGTERM they began without a drain and ran what arrived past the grace (gate.go Drain and Start). engine.go read: a link without a first HELLO was waited for without end, though ATTACH may be lost with a break; 'nothing' for a run that had been sent on an earlier link was taken as proof that it never ran, though its end may have been told beyond the 4,000 notices that are kept, and its token was then forgotten and could run twice. Ruled out: DONE twice or for unknown ids (numbers and the table of runs), notices of an old link (each link is read to its end before the next). Change: Start tells of a drain that goes on, with how long ago it began; a link without HELLO is made anew after 5 s; such a 'nothing' may have run. Each has a test that fails without it. The link's writer is waited for.

--- a/control/api.go
+++ b/control/api.go
@@ -135,7 +135,7 @@
 	Subject  uint64  // Arrive: what it is about; 0 for none
 	Original uint32  // Arrive: the remembered RPC that it repeats; 0 for none
 	Time     float64 // Arrive: how long its caller still waits, 0 for untold; Notice: until the stop
-	Waited   float64 // Arrive: since it reached the machine
+	Waited   float64 // Arrive: since it reached the machine; Notice: since it came
 	Hint     float64 // Arrive: expected work on a standard core; 0 for none
 	HeldKB   float64 // Arrive: its memory while held
 	Retry    bool    // Arrive: marked as a further try
--- a/control/control.go
+++ b/control/control.go
@@ -124,7 +124,7 @@
 			c.called(i, &ev)
 		}
 	case Notice:
-		c.drain = drain{on: true, since: now, stop: now + ev.Time}
+		c.drain = drain{on: true, since: now - ev.Waited, stop: now - ev.Waited + ev.Time}
 		for i := range c.in.rpc {
 			c.drain.bound(&c.in.rpc[i])
 		}
--- a/internal/back/engine/engine.go
+++ b/internal/back/engine/engine.go
@@ -48,6 +48,7 @@
 	maxWait  = 500 * time.Millisecond  // and at most, while there is no engine
 	maxAgo   = 1e12                    // ms: thirty years
 	quiet    = time.Second             // an engine that answers none of 25 STATs has lost this link, whatever the socket says
+	renewed  = 5 * time.Second         // a link without a HELLO: the engine may start late, or our ATTACH was lost with a break
 	stale    = 500 * time.Millisecond  // older gauges tell nothing of now: the longest time that one of them covers
 	longPast = 1000 * time.Millisecond // a link that has lived so long was a good one: begin with minWait again
 )
@@ -57,6 +58,7 @@
 	log   *logrus.Entry
 	begun func(cold bool, ago time.Duration)
 	quiet time.Duration // a link on which the engine says nothing for so long is lost
+	renew time.Duration // and one that brings no first HELLO for so long is made anew, which replaces it
 
 	mu     sync.Mutex
 	addr   string
@@ -84,7 +86,7 @@
 // New returns a link to the engine at addr. begun is called each time that a link hears when the engine started.
 func New(addr string, log *logrus.Entry, begun func(cold bool, ago time.Duration)) *Link {
 	return &Link{
-		addr: addr, log: log, begun: begun, quiet: quiet, leave: func() {},
+		addr: addr, log: log, begun: begun, quiet: quiet, renew: renewed, leave: func() {},
 		runs: map[string]*run{}, marks: map[string]chan struct{}{},
 	}
 }
@@ -257,6 +259,8 @@
 		return err
 	}
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	written := make(chan struct{})
+	defer func() { <-written }() // once what follows has closed the connection and the queue
 	defer func() {
 		l.mu.Lock()
 		close(l.out)
@@ -269,16 +273,21 @@
 	}()
 	l.mu.Lock()
 	l.conn, l.out = conn, make(chan []byte, maxQueue)
-	go write(conn, l.out)
+	go func(out <-chan []byte) {
+		write(conn, out)
+		close(written)
+	}(l.out)
 	last := l.last
 	l.send(line(command{T: "ATTACH", No: &last}))
 	l.mu.Unlock()
 	in := bufio.NewReaderSize(conn, maxLine)
 	for {
 		l.mu.Lock()
-		if l.hello { // before the first one the engine may have yet to start
-			conn.SetReadDeadline(time.Now().Add(l.quiet))
+		wait := l.quiet
+		if !l.hello { // the engine may have yet to start
+			wait = l.renew
 		}
+		conn.SetReadDeadline(time.Now().Add(wait))
 		l.mu.Unlock()
 		b, err := in.ReadSlice('\n')
 		if err != nil {
@@ -342,6 +351,9 @@
 			e.Err = errInterrupted
 		case "nothing":
 			e.Err = errNothing
+			if r := l.runs[n.Rid]; r != nil && r.again { // the first command may have had its end told beyond what is kept
+				e.Err = errInterrupted
+			}
 		default:
 			e.Err = errFailed
 		}
--- a/internal/back/engine/engine_test.go
+++ b/internal/back/engine/engine_test.go
@@ -30,7 +30,9 @@
 	cold chan bool
 }
 
-func start(t *testing.T, quiet time.Duration) *stand {
+func start(t *testing.T, quiet time.Duration) *stand { return startRenewed(t, quiet, 2*soon) }
+
+func startRenewed(t *testing.T, quiet, renew time.Duration) *stand {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -39,7 +41,7 @@
 	log.SetOutput(io.Discard)
 	s := &stand{T: t, ln: ln, ends: make(chan string, 20), cold: make(chan bool, 20)}
 	s.link = New(ln.Addr().String(), log.WithField("node", "n0"), func(cold bool, ago time.Duration) { s.cold <- cold })
-	s.link.quiet = quiet
+	s.link.quiet, s.link.renew = quiet, renew
 	ctx, end := context.WithCancel(context.Background())
 	over := make(chan struct{})
 	go func() { s.link.Serve(ctx); close(over) }()
@@ -149,6 +151,18 @@
 	s.reads(s.runs("a", "x"))
 }
 
+// A link whose ATTACH was lost, as with a break, is made anew; so is each while the engine has yet to start.
+func TestAttachLost(t *testing.T) {
+	s := startRenewed(t, soon, 200*time.Millisecond)
+	s.run("a", "x")
+	for range 2 {
+		s.accept(0) // and nothing comes back
+	}
+	s.accept(0)
+	s.hello("1")
+	s.reads(s.runs("a", "x"))
+}
+
 func TestLink(t *testing.T) {
 	cases := []struct {
 		name string
@@ -229,6 +243,18 @@
 			s.says(`{"t":"NO","status":"RUN","rid":"a"}`)
 			s.ended("a error 2")
 		}},
+		{"nothing was started anew after a break: it may have run before, and its end be lost", func(s *stand) {
+			s.accept(0)
+			s.hello("1")
+			s.run("a", "x")
+			s.reads(s.runs("a", "x"))
+			s.conn.Close()
+			s.accept(0)
+			s.hello("2", done(4200, "z", "success", "")) // more have passed than are kept
+			s.reads(s.runs("a", "x"))
+			s.says(done(4201, "a", "nothing", ""))
+			s.ended("a error 2")
+		}},
 		{"the same try sent to us twice runs once", func(s *stand) {
 			s.accept(0)
 			s.hello("1")
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -144,6 +144,8 @@
 	keptKB   float64
 	todo     []control.Event // what the actions of one event brought about
 	draining bool
+	leaves   time.Time     // when the drain began,
+	stop     time.Duration // and how long after that the stop comes
 	closed   bool
 	good     bool
 	idle     time.Duration
@@ -354,6 +356,7 @@
 	for at := g.wake; cold && at <= math.Min(g.clock(now), node.WarmBy); at = g.wake {
 		g.handle(at, control.Event{Kind: control.Timer, Label: g.label})
 	}
+	g.notice(now)
 }
 
 // Enter books an RPC as read. It never blocks; the verdicts come by Wait, and exactly one of them is final.
@@ -688,9 +691,14 @@
 func (g *Gate) Drain(stop time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.draining = true
-	if g.decide != nil {
-		g.handle(g.clock(g.now()), control.Event{Kind: control.Notice, Time: float64(stop) / 1e6})
+	g.draining, g.leaves, g.stop = true, g.now(), stop
+	g.notice(g.leaves)
+}
+
+// notice tells the decisions of a drain, if they have begun: it may be older than they are.
+func (g *Gate) notice(now time.Time) {
+	if g.decide != nil && g.draining {
+		g.handle(g.clock(now), control.Event{Kind: control.Notice, Time: float64(g.stop) / 1e6, Waited: float64(now.Sub(g.leaves)) / 1e6})
 	}
 }
 
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -470,3 +470,29 @@
 		}
 	}
 }
+
+// The grace of a drain counts from its notice, though the decisions begin after that, as with an engine that starts late.
+func TestStartInDrain(t *testing.T) {
+	for _, cold := range []bool{false, true} {
+		w := open(t, false)
+		w.Drain(3 * time.Second)
+		w.at = w.at.Add(500 * time.Millisecond)
+		w.Start(cold, 0)
+		if w.Good() {
+			t.Error("good in a drain")
+		}
+		if a := w.enter("view", ""); !cold {
+			w.expect(a, Run)
+			a.Report(Succeeded, 10, nil)
+			w.expect(a, OK)
+		}
+		w.at = w.at.Add(600 * time.Millisecond)
+		w.expect(w.enter("view", ""), PushedBack)
+
+		late := open(t, false)
+		late.Drain(3 * time.Second)
+		late.at = late.at.Add(1100 * time.Millisecond)
+		late.Start(cold, 0)
+		late.expect(late.enter("buy", "u"), PushedBack)
+	}
+}
