An RPC of which a part has come keeps its connection; writes are bounded by the longest deadline told

Change: a connection on which a message has begun is busy, if it ever carried an RPC, until the front's bound on silence; the time for one write is the longest deadline of the settings and the slack of answers. Test: half an RPC sent, the notice given, the rest looked for and evicted; the other half is answered.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -61,7 +61,7 @@
 	}
 	table := NewTable(sockets, func() time.Duration { return time.Hour }, quietLog())
 	table.Listen(ln.(*net.TCPListener), func(nc net.Conn) Conn {
-		return &lines{ConnState: ConnState{Conn: nc, Last: time.Now()}, table: table}
+		return &lines{ConnState: ConnState{Conn: nc, WriteTime: soon, Last: time.Now()}, table: table}
 	})
 	t.Cleanup(func() { shutdown(t, table, 100*time.Millisecond) })
 	return table, ln.Addr().String()
@@ -141,7 +141,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			peer, nc := pair(t)
-			s := &ConnState{Conn: nc, Last: time.Now(), Used: true}
+			s := &ConnState{Conn: nc, WriteTime: soon, Last: time.Now(), Used: true}
 			io.WriteString(peer, "half a li")
 			arrived(t, nc)
 			if !s.Send([]byte("an ans"), []byte("wer\n")) {
@@ -170,7 +170,7 @@
 // Neither a reader's own deadline nor a second end changes how long a closing connection is read on.
 func TestEndOnce(t *testing.T) {
 	_, nc := pair(t)
-	s := &ConnState{Conn: nc, Last: time.Now()}
+	s := &ConnState{Conn: nc, WriteTime: soon, Last: time.Now()}
 	s.End()
 	s.ReadBy(time.Time{}) // as a reader that was between two lines when the end was decided
 	began := time.Now()
--- a/internal/front/mprpc/conn.go
+++ b/internal/front/mprpc/conn.go
@@ -39,7 +39,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{ConnState: front.ConnState{Conn: nc, Last: time.Now()}, s: s, open: map[uint64]*gate.Ticket{}}
+	return &conn{ConnState: front.ConnState{Conn: nc, WriteTime: s.gate.Longest(), Last: time.Now()}, s: s, open: map[uint64]*gate.Ticket{}}
 }
 
 // Serve reads until the connection ends, waits for what is in hand, and closes it.
@@ -132,6 +132,7 @@
 			}
 		case msgpack.ErrShort:
 			need = size
+			c.Begins()
 			if !timed {
 				timed = true
 				c.ReadBy(time.Now().Add(c.s.silence))
@@ -164,7 +165,7 @@
 // take handles one message.
 func (c *conn) take(m message) error {
 	c.Mu.Lock()
-	c.Last, c.Spoke = time.Now(), true
+	c.Last, c.Spoke, c.Begun = time.Now(), true, false
 	shut := c.Shut
 	_, taken := c.open[m.id]
 	full := len(c.open) >= maxOpen
--- a/internal/front/mprpc/server_test.go
+++ b/internal/front/mprpc/server_test.go
@@ -725,3 +725,34 @@
 	default:
 	}
 }
+
+// An RPC of which a part has come is neither evicted with its connection nor closed with one that rests.
+func TestBegunMessage(t *testing.T) {
+	r := start(t, 0)
+	r.says(rpc(1, "view", "a"))
+	r.end("a")
+	r.expect("1 ok r-a")
+	c := r.table.All()[0].(*conn)
+	half := rpc(2, "view", "b")
+	r.says(half[:len(half)/2])
+	for begun := false; !begun; runtime.Gosched() {
+		c.Mu.Lock()
+		begun = c.Begun
+		c.Mu.Unlock()
+	}
+	c.Mu.Lock()
+	c.Last = c.Last.Add(-front.Lingers) // it takes its time
+	c.Mu.Unlock()
+	c.Closing()
+	r.expect("closing")
+	c.Rested(0)
+	r.table.EvictSome()
+	r.says(half[len(half)/2:])
+	r.end("b")
+	r.expect("2 ok r-b")
+	c.Mu.Lock()
+	if c.Begun {
+		t.Error("still taken for begun")
+	}
+	c.Mu.Unlock()
+}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -30,7 +30,6 @@
 const Lingers = 1500 * time.Millisecond
 
 const (
-	writeTime = 15 * time.Second // for one answer: past the deadlines told so far, so only a dead peer meets it
 	// lingerTime is for a peer to take its last answers and to close: twice Crossing, as what crossed must be read.
 	lingerTime = 2 * Crossing
 	// lingerEvicted is that for one that is evicted: a crowd of such that never closes must not keep others out for
@@ -43,12 +42,14 @@
 // by Finish. All others ask for that by End. The fields are guarded by Mu.
 type ConnState struct {
 	net.Conn
+	WriteTime time.Duration // for one answer: past the longest deadline told, so that only a dead peer meets it
 
 	Mu      sync.Mutex
 	Open    int       // RPCs in hand, and answers that are being written
 	Last    time.Time // when something was read or answered
 	Spoke   bool      // a whole message has come
 	Used    bool      // and a sound RPC
+	Begun   bool      // a part of the next message has come
 	Told    time.Time // when the peer was asked for no more
 	Shut    bool      // it ends: nothing more is taken, as its peer may send it again; set once, by End
 	by      time.Time // if set, all reading and writing on it is over then
@@ -69,7 +70,7 @@
 		return Ending, s.Last
 	case s.Shut: // its room is waited for before any idle one is given up
 		return Young, s.Last
-	case s.Open > 0:
+	case s.Open > 0 || s.Begun && s.Used:
 		return Busy, s.Last
 	case !s.Used && (s.Spoke || quiet):
 		return Useless, s.Last
@@ -96,17 +97,27 @@
 func (s *ConnState) Evict(last time.Time) {
 	s.Mu.Lock()
 	defer s.Mu.Unlock()
-	if s.Open == 0 && !s.Shut && s.Last.Equal(last) {
+	if s.Open == 0 && !(s.Begun && s.Used) && !s.Shut && s.Last.Equal(last) {
 		s.brief = true
 		s.end()
 	}
 }
 
+// Begins books that a part of the next message has come: what is on its way is waited for, for as long as the front lets
+// a message take.
+func (s *ConnState) Begins() {
+	s.Mu.Lock()
+	defer s.Mu.Unlock()
+	if !s.Begun {
+		s.Begun, s.Last = true, time.Now()
+	}
+}
+
 // Rested has the connection closed if its peer was asked for no more and nothing has been open on it for so long.
 func (s *ConnState) Rested(lingers time.Duration) {
 	s.Mu.Lock()
 	defer s.Mu.Unlock()
-	if s.Open == 0 && !s.Told.IsZero() && time.Since(s.Last) > lingers && time.Since(s.Told) > lingers {
+	if s.Open == 0 && !s.Begun && !s.Told.IsZero() && time.Since(s.Last) > lingers && time.Since(s.Told) > lingers {
 		s.end()
 	}
 }
@@ -161,7 +172,7 @@
 		return false
 	}
 	s.Mu.Lock()
-	s.Conn.SetWriteDeadline(s.within(writeTime))
+	s.Conn.SetWriteDeadline(s.within(s.WriteTime))
 	s.Mu.Unlock()
 	b := net.Buffers(parts)
 	if _, err := b.WriteTo(s.Conn); err != nil {
--- a/internal/front/uwsgi/conn.go
+++ b/internal/front/uwsgi/conn.go
@@ -45,7 +45,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{ConnState: front.ConnState{Conn: nc, Last: time.Now()}, s: s, done: make(chan struct{}, 1)}
+	return &conn{ConnState: front.ConnState{Conn: nc, WriteTime: s.gate.Longest(), Last: time.Now()}, s: s, done: make(chan struct{}, 1)}
 }
 
 var (
@@ -89,6 +89,7 @@
 		}
 		return err
 	}
+	c.Begins()
 	began := time.Now()
 	c.ReadBy(began.Add(operator.Ms(v.limits.SilenceMs)))
 	head, err := c.in.Peek(wire.HeadSize)
@@ -161,7 +162,7 @@
 	c.Mu.Lock()
 	shut := c.Shut
 	if !shut { // from here on the connection is not idle
-		c.Open, c.Spoke, c.Last = 1, true, time.Now()
+		c.Open, c.Spoke, c.Begun, c.Last = 1, true, false, time.Now()
 	}
 	c.Mu.Unlock()
 	if shut {
@@ -256,7 +257,7 @@
 // spoken books a message that brought no RPC.
 func (c *conn) spoken() {
 	c.Mu.Lock()
-	c.Spoke, c.Last = true, time.Now()
+	c.Spoke, c.Begun, c.Last = true, false, time.Now()
 	c.Mu.Unlock()
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -743,6 +743,15 @@
 // Advice is the time to stay away that goes with what the protocol itself pushes back, within what is honoured.
 func (g *Gate) Advice(away float64) float64 { return math.Min(away, g.told.Fleet.MaxRetryAfter) }
 
+// Longest is the longest deadline of a method, with the slack that an answer may take: who has not taken one by then no longer waits.
+func (g *Gate) Longest() time.Duration {
+	longest := 0.0
+	for i := range g.told.Methods {
+		longest = math.Max(longest, g.told.Methods[i].Deadline)
+	}
+	return ms(longest + g.told.Slack)
+}
+
 // InHand is the number of RPCs without a final verdict or with a run that is not over.
 func (g *Gate) InHand() int {
 	g.mu.Lock()
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -496,3 +496,9 @@
 		late.expect(late.enter("buy", "u"), PushedBack)
 	}
 }
+
+func TestLongest(t *testing.T) {
+	if got, want := open(t, false).Longest(), 2060*time.Millisecond; got != want {
+		t.Errorf("longest %v, want %v", got, want)
+	}
+}
