Members that return get their part over all processes: what is not whole is rounded by chance

Seen by reading choose/pool: room rounded each process's part of a returning member up, so that each had one place at least. With 30 processes and one place each the member had 30 in flight where its part was 3; the new property test showed 20 where 8 were its part with the old code. Ruled out: retries and hedges, which ask for places as first tries do; probes, which go only to members that are out; judged members, whose callers are hashed over the fleet. Change: the part is rounded by a draw that holds for one return, so its mean over the processes is the part, with no contact between them. TestReturn wanted the rounding up; it now wants the places that given draws make.

--- a/choose/pool/pool.go
+++ b/choose/pool/pool.go
@@ -71,6 +71,7 @@
 	until    float64 // ejected until then
 	length   float64 // of its last ejection
 	back     float64 // when it returned; long ago for one that never left
+	draw     float64 // from 0 to 1, new with each return
 	passed   bool    // the check after its ejection
 	checkAt  float64
 	checking bool
@@ -237,6 +238,7 @@
 // restore takes an ejected member back. What it has done before is no longer held against it.
 func (p *Pool) restore(now float64, m *member) {
 	m.out, m.back, m.fails, m.answers, m.quiet = Sound, now, 0, 0, now
+	m.draw = p.chance.Float64()
 	p.events = append(p.events, Event{Addr: m.addr})
 }
 
@@ -323,7 +325,14 @@
 }
 
 func (p *Pool) room(now float64, m *member, caller uint64) bool {
-	return p.open(m, caller) && m.inFlight < int(math.Ceil(float64(p.rules.Connections)*p.part(now, m)))
+	return p.open(m, caller) && m.inFlight < p.places(now, m)
+}
+
+// places is how many RPCs a member may have in flight from here. What is not whole is rounded by chance, the same for the
+// whole return: a member hears from all servers of a fleet, and were each to round up, the sum would be many times the part that it is
+// to have while each is to send less than one. The mean over the servers is that part, without any contact between them.
+func (p *Pool) places(now float64, m *member) int {
+	return min(p.rules.Connections, int(float64(p.rules.Connections)*p.part(now, m)+m.draw))
 }
 
 // choose takes the better of two members drawn by chance, each by its part.
