--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -41,8 +41,11 @@
 		go func() {
 			defer conn.Close()
 			no := 0
+			var ends sync.Mutex
 			in := bufio.NewScanner(conn)
 			done := func(rid, b64 string) {
+				ends.Lock()
+				defer ends.Unlock()
 				no++
 				fmt.Fprintf(conn, `{"t":"DONE","no":%d,"rid":"%s","status":"success","time_ms":1,"b64":"%s"}`+"\n", no, rid, b64)
 			}
@@ -57,8 +60,12 @@
 				case "STAT":
 					fmt.Fprintf(conn, `{"t":"STATS","mark":"%s","v":[0,0]}`+"\n", c.Mark)
 				case "RUN":
-					if c.B64 == "d2FpdA==" { // "wait"
-						<-wait
+					if c.B64 == "d2FpdA==" { // "wait"; all else goes on
+						go func() {
+							<-wait
+							done(c.Rid, c.B64)
+						}()
+						continue
 					}
 					done(c.Rid, c.B64)
 				}
@@ -540,3 +547,42 @@
 		t.Error("took an address that is not here")
 	}
 }
+
+// Clients that rest fill all connections while the membership service is down: new ones get in, an RPC in hand keeps its
+// connection, and once the service is back the server is listed again.
+func TestRestingCrowd(t *testing.T) {
+	w := start(t, 5000, func(w *whole) {
+		b, err := os.ReadFile(w.file)
+		if err == nil {
+			err = os.WriteFile(w.file, bytes.Replace(b, []byte(`"stop_ms"`), []byte(`"limits":{"sockets":48},"stop_ms"`), 1), 0o600)
+		}
+		if err != nil {
+			w.Fatal(err)
+		}
+	})
+	w.conn.Write(call(1, "view", "wait"))
+	down := loopback(t)
+	down.Close()
+	b, _ := os.ReadFile(w.file)
+	_, old, _ := strings.Cut(string(b), `"members":"`)
+	w.reload(old[:strings.Index(old, `"`)], down.Addr().String())
+	for n := range 60 { // over twice as many as may be open
+		conn, err := net.Dial("tcp", w.conn.RemoteAddr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(soon))
+		conn.Write(call(uint64(100+n), "view", "a"))
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			t.Fatalf("connection %d: %v", n, err)
+		}
+	}
+	w.reload(down.Addr().String(), w.service("second "))
+	w.reported("second UP")
+	close(w.wait)
+	w.answered("\x94\x01\x01\xc0\x92\xc4\x04wait\x80")
+	w.stop <- syscall.SIGTERM
+	w.reported("second OUT")
+	w.ended()
+}
