The test of a wrong entry waits until the keeper that is to lose it has the command

Two of three keepers agree on the roster, and the test closed the third, which need not have had it in its log yet. It now waits until that keeper's log reaches what the leader has applied; what it asks for is the same.

--- a/internal/keeper/faults_test.go
+++ b/internal/keeper/faults_test.go
@@ -264,7 +264,13 @@
 	t.Parallel()
 	x := newTrio(t, 0)
 	x.roster(3)
-	lost := (x.leader(0, 1, 2) + 1) % 3
+	lead := x.leader(0, 1, 2)
+	lost := (lead + 1) % 3
+	for end := time.Now().Add(soon); x.all[lost].raft.LastIndex() < x.all[lead].raft.AppliedIndex(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) { // two of three agree without it
+			t.Fatal("the keeper never gets the command that it is to have wrongly")
+		}
+	}
 	x.all[lost].Close()
 	x.all[lost] = nil
 	db, err := bbolt.Open(filepath.Join(x.dirs[lost], "raft.db"), 0o600, nil)
