Settings and events of three further deployments: what the wire tells is read, by table tests

Need: report.how = probe, halt = drop, say = weight, no customers, checks that do real work, a shared dependency that slows down, no word on deadlines, unmarked retries.

--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -41,6 +41,44 @@
 	}
 }
 
+// What later deployments set that the first three did not, each as the wire names it.
+func TestLaterSettings(t *testing.T) {
+	cases := []struct {
+		name, text string
+		holds      func(o *Opening) bool
+	}{
+		{"work that can be stopped and is lost", "family_info.halt=abort", func(o *Opening) bool { return o.Node.Stop == control.StopAbort }},
+		{"a share of the usual traffic for callers", "family_info.say=share_of", func(o *Opening) bool { return o.Fleet.Say == control.SayShare }},
+		{"a level for callers", "family_info.say=threshold", func(o *Opening) bool { return o.Fleet.Say == control.SayLevel }},
+		{"reports with checks only", "report.how=probe\nreport.columns=waiting,avg_ms", func(o *Opening) bool { return o.Fleet.Say == control.SayNone }},
+		{"checks that do real work", "family_info.real_checks=true", func(o *Opening) bool { return len(o.Methods) == 1 }},
+		{"no customers", "", func(o *Opening) bool { return len(o.Customers) == 0 }},
+		{"an empty list of customers", "customers.count=0", func(o *Opening) bool { return len(o.Customers) == 0 }},
+		{"callers that do not say how long they wait", "family_info.passes_deadline=false", func(o *Opening) bool { return !o.Fleet.TellsTime }},
+		{"nor whether they do", "", func(o *Opening) bool { return !o.Fleet.TellsTime }},
+		{"callers that say so", "family_info.passes_deadline=true", func(o *Opening) bool { return o.Fleet.TellsTime }},
+		{"retries without a mark", "client_habits.marks_retry=false", func(o *Opening) bool { return !o.Fleet.Marks }},
+		{"a shared dependency", "family_info.below=shared\nfamily_info.call_share=0.4\nfamily_info.linger=200000000", func(o *Opening) bool {
+			return o.Below.Share == 0.4 && o.Below.Linger == 200
+		}},
+		{"a tier below, of which no share is told", "family_info.below=tier\nfamily_info.call_share=0.4", func(o *Opening) bool { return o.Below.Share == 0 }},
+		{"answers without the call", "family_info.worth_without=0.6", func(o *Opening) bool { return o.Methods[0].SkipShare == 0.6 }},
+		{"worth by request", "value_by=request", func(o *Opening) bool { return o.Methods[0].Criticality == 1 }},
+		{"no reading of what is not known", "tier.new=1\nfam.shared_thrash=0.4", func(o *Opening) bool { return o.Node.Cores == 6 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o, err := Parse(settings + c.text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !c.holds(o) {
+				t.Errorf("got %+v", o)
+			}
+		})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(settings)
 	f.Fuzz(func(t *testing.T, text string) {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -63,6 +63,28 @@
 				{Kind: control.Left, RPC: 0x0e6f2b19},
 			},
 		},
+		{
+			name: "no customers, no word on the time that is left, an unmarked retry, no hint",
+			frame: "0000003e 0000000000000000 00000001 1e 00000039 0003 5d3a91c4 0001 0000 0000000000000000 0000000000000000 0000000000000000" +
+				"41c40000 3f200000 00 0011 0000000000000000 00000000",
+			want: []control.Event{{Kind: control.Arrive, RPC: 0x5d3a91c4, Method: 1, HeldKB: 24.5, Caller: 17}},
+		},
+		{
+			name: "a hint that is not valid does not count",
+			frame: "0000003e 0000000000000000 00000001 1e 00000039 0003 5d3a91c4 0001 0000 0000000000000000 0000000000000000 0000000000b71b00" +
+				"41c40000 3f200000 06 0011 0000000000000000 00000000",
+			want: []control.Event{{Kind: control.Arrive, RPC: 0x5d3a91c4, Method: 1, HeldKB: 24.5, Caller: 17, Retry: true}},
+		},
+		{
+			name:  "a run that was stopped",
+			frame: "00000014 0000000000000000 00000001 32 0000000f 0003 5d3a91c4 06 00000000011a49a0",
+			want:  []control.Event{{Kind: control.Ended, RPC: 0x5d3a91c4, Outcome: control.Cancelled, Spent: 18.5}},
+		},
+		{
+			name:  "a call below whose run has ended, and one that was interrupted",
+			frame: "00000028 0000000000000000 00000002 46 0000000f 0003 5d3a91c4 04 0000000000000000 46 0000000f 0003 5d3a91c4 05 0000000000000000",
+			want:  []control.Event{{Kind: control.Called, RPC: 0x5d3a91c4, Outcome: control.Unreachable}, {Kind: control.Called, RPC: 0x5d3a91c4, Outcome: control.Reset}},
+		},
 		{
 			name:  "fields left out are zero",
 			frame: "0000000d 0000000000000000 00000001 32 00000008 0003 5d3a91c4 01 00",
