The four rules after every event, under random settings and events out of order, unknown or twice

Need: settings that are missing, zero or contradictory and events that make no sense must break no rule, nor panic. Change: a test (and a fuzz target) drives the module's entry point with drawn settings, retries, calls below, stops, stalls and drains, and checks lost, duplicate, drain and fall-over after every event. The module is unchanged. Two first versions of the checks were wrong and were put right: a window counts both ways round the try that ran, and the crowd is averaged over the time that the rule names.

--- /dev/null
+++ b/control/rules_test.go
@@ -0,0 +1,488 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// This file drives the entry point with random settings and events, among them ones out of order, for unknown ids and twice,
+// and checks the four rules after every event, as the wire's page states them.
+
+// try is one RPC as the machine that carries the actions out knows it.
+type try struct {
+	id, group    uint32 // group: all tries of one tokened RPC
+	method       int
+	arrived, due float64
+	kb           float64
+	state        lifeState
+	ran, over    bool // over: answered, or its caller has left
+	since, until float64
+	calls        int
+	joins        uint32
+}
+
+// lifeState is where a try is; that of the decisions is their own.
+type lifeState int
+
+const (
+	isHeld lifeState = iota
+	isRunning
+	isPaused
+	isStanding
+	isCalling
+	isJoined
+)
+
+type entry struct {
+	id    uint32
+	until float64
+}
+
+// machine carries out what an instance says and keeps account of the rules.
+type machine struct {
+	s        site
+	c        *Control
+	chance   *rand.Rand
+	now      float64
+	tries    map[uint32]*try
+	old      []uint32
+	table    map[uint32]entry   // by group
+	ranAt    map[uint32]float64 // arrival of the try of a group that ran last
+	lastID   uint32
+	wake     float64
+	label    uint64
+	began    float64
+	notice   float64 // -1 for none
+	stop     float64
+	stalled  float64 // what falls due just after a stall may be answered after it
+	broken   string
+	answered int
+	served   int
+	running  int
+	crowds   []int // running at each tick
+	sum      int   // of these, the last fallTime
+}
+
+const answerSlack = 60.0
+
+func (m *machine) breaks(format string, a ...any) {
+	if m.broken == "" {
+		m.broken = fmt.Sprintf("at %.0f ms: ", m.now) + fmt.Sprintf(format, a...)
+	}
+}
+
+// randomSite draws settings; what is missing, nothing or contradictory is among them.
+func randomSite(r *rand.Rand) site {
+	s := site{
+		node: Node{
+			Seed: r.Uint64(), Cold: r.Intn(3) == 0, StartSpeed: 0.2 + 0.3*r.Float64(), WarmBy: 20000 * r.Float64(), Cores: 1 + r.Intn(16),
+			RunFactor: 1 + 15*r.Float64(), Tick: 4, Stop: Stop(r.Intn(3)),
+		},
+		fleet: Fleet{
+			Peers: r.Intn(300), Callers: r.Intn(1000), Marks: r.Intn(2) == 0, TellsTime: r.Intn(2) == 0, Say: Say(r.Intn(4)),
+			Heeded: 1000, Idle: 30000, MaxRetryAfter: float64(r.Intn(2)) * 1000, OverShare: r.Float64(),
+		},
+		rules: Rules{DrainGrace: float64(r.Intn(4)) * 1000, Ceiling: 2 + 6*r.Float64(), Settle: float64(r.Intn(2)) * 200},
+	}
+	if r.Intn(3) == 0 {
+		s.below = Below{Share: 0.3 + 8*r.Float64(), Linger: 200}
+	}
+	for range 1 + r.Intn(4) {
+		target := 60 * math.Exp(4.5*r.Float64()) // up to some seconds
+		s.methods = append(s.methods, Method{
+			Repeat: Repeat(r.Intn(3)), LatencyTarget: target * float64(min(1, r.Intn(12))), Deadline: math.Max(200, target*(0.8+3*r.Float64())),
+			Window: float64(r.Intn(3)) * 8000 * r.Float64(), Criticality: float64(r.Intn(6)), LateShare: 0.2 * float64(r.Intn(2)),
+			SkipShare: 0.5 * float64(r.Intn(2)),
+		})
+	}
+	for range r.Intn(4) {
+		s.customers = append(s.customers, Customer{Quota: float64(r.Intn(3)) * 50})
+	}
+	const held = 30.0
+	s.node.MemKB = held * s.node.RunFactor * float64(s.node.Cores) * (11 + 13*r.Float64())
+	s.node.KeyKB = s.node.MemKB / 500 * r.Float64()
+	return s
+}
+
+func newMachine(seed int64) *machine {
+	r := rand.New(rand.NewSource(seed))
+	s := randomSite(r)
+	m := &machine{
+		s: s, chance: r, tries: map[uint32]*try{}, table: map[uint32]entry{}, ranAt: map[uint32]float64{}, notice: -1,
+		now: 1e6 * r.Float64(),
+	}
+	m.began = m.now
+	m.c = New(s.node, s.fleet, s.below, s.rules, s.methods, s.customers)
+	m.give(Event{Kind: Begin})
+	return m
+}
+
+// give hands over one event and carries out what it brings.
+func (m *machine) give(ev Event) {
+	for _, a := range m.c.Handle(m.now, ev) {
+		m.carryOut(a)
+	}
+	m.check()
+}
+
+func (m *machine) answer(t *try, how string) {
+	if t.over {
+		m.breaks("RPC %d %s, though it was over", t.id, how)
+	}
+	t.over = true
+	m.answered++
+}
+
+func (m *machine) drop(t *try) {
+	delete(m.tries, t.id)
+	m.old = append(m.old, t.id)
+}
+
+func (m *machine) carryOut(a Action) {
+	switch a.Do {
+	case Arm:
+		m.wake, m.label = a.Time, a.Label
+		return
+	case Health, Tell, IdleAfter, Note:
+		return
+	}
+	t := m.tries[a.RPC]
+	if t == nil {
+		if a.Do != Forget {
+			m.breaks("action %d for RPC %d, which is not here", a.Do, a.RPC)
+		}
+		return
+	}
+	meth := &m.s.methods[t.method]
+	switch a.Do {
+	case Run:
+		if t.state != isHeld && t.state != isPaused || t.over {
+			m.breaks("RPC %d run in state %d", t.id, t.state)
+		}
+		if t.ran && meth.Repeat != Idempotent && t.state == isHeld {
+			m.breaks("duplicate: RPC %d runs again after it was stopped", t.id)
+		}
+		if at, ran := m.ranAt[t.group]; meth.Repeat == Tokened && ran && !t.ran && math.Abs(t.arrived-at) < meth.Window {
+			m.breaks("duplicate: RPC %d runs within the window of its token", t.id)
+		}
+		if m.notice >= 0 && t.arrived > m.notice+m.s.rules.DrainGrace {
+			m.breaks("drain: RPC %d, which arrived past the grace, runs", t.id)
+		}
+		if meth.Repeat == Tokened {
+			m.ranAt[t.group] = t.arrived
+		}
+		t.state, t.ran, t.since = isRunning, true, m.now
+		t.until = m.now + meth.Deadline*0.4*m.chance.ExpFloat64()*m.chance.Float64()
+		t.calls = 0
+		if m.s.below.Share > 0 && m.chance.Intn(2) == 0 {
+			t.calls = 1 + m.chance.Intn(2)
+		}
+	case PushBack:
+		if t.ran && meth.Repeat != Idempotent {
+			m.breaks("duplicate: RPC %d is pushed back after it ran", t.id)
+		}
+		m.answer(t, "is pushed back")
+		if t.state != isRunning {
+			m.drop(t)
+		}
+	case Abort:
+		m.answer(t, "is aborted")
+		if t.state == isHeld || t.state == isPaused || t.state == isJoined {
+			m.drop(t)
+		} else if t.state == isStanding || t.state == isCalling {
+			t.until = m.now
+		}
+	case Halt:
+		if m.s.node.Stop == StopNone {
+			m.breaks("RPC %d is stopped, which can't be done here", t.id)
+		}
+		if t.state == isRunning {
+			t.until, t.calls = m.now, -1 // its end is told as cancelled
+		}
+	case Call:
+		if t.state != isStanding {
+			m.breaks("RPC %d calls in state %d", t.id, t.state)
+		}
+		t.state, t.since, t.until = isCalling, m.now, m.now+math.Min(a.Time, 300*m.chance.ExpFloat64())
+	case Skip:
+		if t.state != isStanding || meth.SkipShare == 0 {
+			m.breaks("RPC %d goes on without its call in state %d", t.id, t.state)
+		}
+		t.state, t.until = isRunning, m.now+100*m.chance.Float64()
+	case Remember:
+		if meth.Repeat == Tokened {
+			m.table[t.group] = entry{t.id, m.now + a.Time}
+		}
+	case Forget:
+		if e, there := m.table[t.group]; there && e.id == t.id {
+			delete(m.table, t.group)
+		}
+	case Join:
+		if t.joins == 0 || t.state != isHeld {
+			m.breaks("RPC %d joins nothing, or in state %d", t.id, t.state)
+		}
+		t.state = isJoined
+	}
+}
+
+// check is the rules that hold at each moment.
+func (m *machine) check() {
+	kb, running := 0.0, 0
+	for _, t := range m.tries {
+		switch t.state {
+		case isHeld, isJoined:
+			kb += t.kb
+		case isRunning:
+			running++
+			fallthrough
+		default:
+			kb += t.kb * m.s.node.RunFactor
+		}
+		if !t.over && m.now > math.Max(t.due, m.stalled)+answerSlack {
+			m.breaks("lost: RPC %d, due at %.0f, has no answer", t.id, t.due)
+		}
+		if !t.over && m.notice >= 0 && m.now >= m.stop && m.stalled < m.stop-200 {
+			m.breaks("drain: RPC %d has no answer at the stop", t.id)
+		}
+	}
+	for _, e := range m.table {
+		if e.until > m.now {
+			kb += m.s.node.KeyKB
+		}
+	}
+	if kb > m.s.node.MemKB {
+		m.breaks("fall-over: %.0f KB of %.0f", kb, m.s.node.MemKB)
+	}
+	m.running = running
+}
+
+// fallTime is what the crowd on the cores is averaged over, the shortest that a site has set.
+const fallTime = 1500.0
+
+// crowd is the rule on the running RPCs, in the mean of fallTime up to now.
+func (m *machine) crowd() {
+	m.crowds = append(m.crowds, m.running)
+	m.sum += m.running
+	n := int(fallTime / m.s.node.Tick)
+	if len(m.crowds) > n {
+		m.sum -= m.crowds[len(m.crowds)-1-n]
+	}
+	speed := 1.0
+	if m.s.node.Cold && m.s.node.WarmBy > 0 {
+		speed = math.Min(1, m.s.node.StartSpeed+(1-m.s.node.StartSpeed)*(m.now-m.began)/m.s.node.WarmBy)
+	}
+	if mean, most := float64(m.sum)/float64(n), float64(m.s.node.Cores)*(1+(m.s.rules.Ceiling-1)*speed); mean > most {
+		m.breaks("fall-over: %.1f running in the mean, %.1f survived", mean, most)
+	}
+}
+
+func (m *machine) arrive() {
+	m.lastID++
+	method := m.chance.Intn(len(m.s.methods))
+	meth := &m.s.methods[method]
+	t := &try{id: m.lastID, group: m.lastID, method: method, kb: 10 + 40*m.chance.Float64()}
+	waited := 0.0
+	if m.chance.Intn(20) == 0 {
+		waited = meth.Deadline * m.chance.Float64()
+	}
+	t.arrived = m.now - waited
+	ev := Event{
+		Kind: Arrive, RPC: t.id, Method: method, Customer: m.chance.Intn(4), Caller: uint16(m.chance.Intn(50)), Waited: waited, HeldKB: t.kb,
+		Retry: m.chance.Intn(8) == 0, Hint: float64(m.chance.Intn(2)) * 100 * m.chance.Float64(),
+	}
+	t.due = math.Max(t.arrived+meth.Deadline, m.now)
+	if m.s.fleet.TellsTime {
+		ev.Time = meth.Deadline * m.chance.Float64()
+		t.due = m.now + ev.Time
+	}
+	if meth.Repeat == Tokened && m.chance.Intn(3) == 0 && len(m.ranAt)+len(m.table) > 0 { // a repeat of a late one
+		t.group = m.lastID - min(m.lastID-1, uint32(1+m.chance.Intn(200)))
+		if o := m.tries[t.group]; o != nil && o.method != method {
+			t.group = t.id
+		}
+	}
+	t.group = t.group*8 + uint32(method)
+	if e, there := m.table[t.group]; meth.Repeat == Tokened && there && t.arrived < e.until {
+		ev.Original, t.joins = e.id, e.id
+	}
+	m.tries[t.id] = t
+	m.give(ev)
+}
+
+// ends tells of all that is over by now.
+func (m *machine) ends() {
+	for id := uint32(1); id <= m.lastID; id++ {
+		t := m.tries[id]
+		if t == nil || m.now < t.until || t.state == isHeld || t.state == isPaused {
+			continue
+		}
+		switch t.state {
+		case isRunning:
+			if t.calls > 0 && !t.over {
+				t.calls--
+				t.state = isStanding
+				m.give(Event{Kind: Wait, RPC: id})
+				continue
+			}
+			outcome := OK
+			if t.calls < 0 {
+				outcome = Cancelled
+			} else if t.calls > 0 {
+				outcome = Cancelled // at a call, as it is over
+			} else if m.chance.Intn(20) == 0 {
+				outcome = Error
+			}
+			if t.calls < 0 && !t.over { // stopped and still owed
+				t.state = isHeld
+				if m.s.node.Stop == StopPause {
+					t.state = isPaused
+				}
+				m.give(Event{Kind: Ended, RPC: id, Outcome: Cancelled, Spent: m.now - t.since})
+				continue
+			}
+			if !t.over {
+				m.answer(t, "ends")
+				m.served++
+			}
+			m.drop(t)
+			m.give(Event{Kind: Ended, RPC: id, Outcome: outcome, Spent: m.now - t.since})
+		case isStanding:
+			if t.over {
+				m.drop(t)
+				m.give(Event{Kind: Ended, RPC: id, Outcome: Cancelled, Spent: m.now - t.since})
+			}
+		case isCalling:
+			if t.over {
+				m.drop(t)
+				m.give(Event{Kind: Ended, RPC: id, Outcome: Cancelled, Spent: m.now - t.since})
+				continue
+			}
+			outcome := [...]Outcome{OK, OK, OK, OK, OK, Error, Full, TimedOut, Unreachable, Reset}[m.chance.Intn(10)]
+			t.state, t.until = isStanding, m.now
+			if outcome == OK {
+				t.state, t.until = isRunning, m.now+100*m.chance.Float64()
+			}
+			m.give(Event{Kind: Called, RPC: id, Outcome: outcome, Spent: m.now - t.since})
+		case isJoined:
+			if m.tries[t.joins] == nil {
+				m.answer(t, "ends joined")
+				m.drop(t)
+				m.give(Event{Kind: Ended, RPC: id, Outcome: OK, Spent: 1})
+			}
+		}
+	}
+}
+
+// oddity is an event that makes no sense, or a caller that leaves.
+func (m *machine) oddity() {
+	some := func() uint32 {
+		switch m.chance.Intn(3) {
+		case 0:
+			return m.lastID + 1000 // never heard of
+		case 1:
+			if len(m.old) > 0 {
+				return m.old[m.chance.Intn(len(m.old))]
+			}
+		}
+		return 0
+	}
+	switch m.chance.Intn(6) {
+	case 0:
+		m.give(Event{Kind: Ended, RPC: some(), Outcome: OK, Spent: -1})
+	case 1:
+		m.give(Event{Kind: Called, RPC: some(), Outcome: Full})
+	case 2:
+		m.give(Event{Kind: Wait, RPC: some()})
+	case 3:
+		m.give(Event{Kind: Left, RPC: some()})
+	case 4: // a call that nobody made, of one that is held
+		for id := range m.lastID {
+			if t := m.tries[id]; t != nil && t.state == isHeld {
+				m.give(Event{Kind: Called, RPC: id, Outcome: OK})
+				m.give(Event{Kind: Wait, RPC: id})
+				break
+			}
+		}
+	case 5:
+		for id := range m.lastID {
+			t := m.tries[id]
+			if t == nil || t.over || m.chance.Intn(4) > 0 {
+				continue
+			}
+			t.over = true
+			if t.state == isHeld || t.state == isPaused || t.state == isJoined {
+				m.drop(t)
+			} else if t.state != isRunning {
+				t.until = m.now
+			}
+			m.give(Event{Kind: Left, RPC: id, Outcome: []Outcome{Error, Reset}[m.chance.Intn(2)]})
+			break
+		}
+	}
+}
+
+// play lives through some seconds and returns what broke.
+func (m *machine) play(ms float64) string {
+	end := m.now + ms
+	rate := float64(m.s.node.Cores) * (0.2 + 3*m.chance.Float64()) / 200 // arrivals a ms
+	notice := math.Inf(1)
+	if m.chance.Intn(2) == 0 {
+		notice = m.now + ms*m.chance.Float64()
+	}
+	for m.now < end && m.broken == "" {
+		m.now += m.s.node.Tick
+		if m.chance.Intn(2000) == 0 { // the machine stands still
+			m.now += 1000 * m.chance.Float64()
+			m.stalled = m.now
+		}
+		if m.now >= notice && m.notice < 0 {
+			m.notice, m.stop = m.now, m.now+200+4000*m.chance.Float64()
+			m.give(Event{Kind: Notice, Time: m.stop - m.now})
+		}
+		if m.notice >= 0 && m.now >= m.stop {
+			m.check()
+			break
+		}
+		if m.now >= m.wake {
+			g := Gauges{Stale: m.chance.Intn(5) == 0, CoreUse: m.chance.Float64(), OnCores: float64(m.chance.Intn(30))}
+			m.give(Event{Kind: Timer, Label: m.label, Gauges: g})
+		}
+		m.ends()
+		m.crowd()
+		if m.chance.Intn(50) == 0 {
+			m.oddity()
+		}
+		for n := rate * m.s.node.Tick * m.chance.ExpFloat64(); n > m.chance.Float64(); n-- {
+			m.arrive()
+		}
+	}
+	return m.broken
+}
+
+// No settings and no order of events break a rule or make the instance panic.
+func TestRules(t *testing.T) {
+	const cases = 300
+	answered, served := 0, 0
+	for seed := range int64(cases) {
+		m := newMachine(seed)
+		if broken := m.play(4000); broken != "" {
+			t.Errorf("seed %d: %s; %+v", seed, broken, m.s)
+		}
+		answered, served = answered+m.answered, served+m.served
+	}
+	if served < answered/20 {
+		t.Errorf("%d of %d served: the test tries nothing", served, answered)
+	}
+	t.Logf("%d answered, %d of them served", answered, served)
+}
+
+func FuzzRules(f *testing.F) {
+	f.Add(int64(1))
+	f.Fuzz(func(t *testing.T, seed int64) {
+		if broken := newMachine(seed).play(3000); broken != "" {
+			t.Error(broken)
+		}
+	})
+}
