The test of the four rules tries memory and crowd, too: two of five guards taken out had passed

Change: memory is drawn from 1.5 runs a core up, and the gauge follows what runs, of which a drawn part waits for disk.

--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -61,8 +61,9 @@
 	answered int
 	served   int
 	running  int
-	crowds   []int // running at each tick
-	sum      int   // of these, the last fallTime
+	onCore   float64 // part of these that want a core, as the gauge has it; all may come back from disk at once
+	crowds   []int   // running at each tick
+	sum      int     // of these, the last fallTime
 }
 
 const answerSlack = 60.0
@@ -101,7 +102,7 @@
 		s.customers = append(s.customers, Customer{Quota: float64(r.Intn(3)) * 50})
 	}
 	const held = 30.0
-	s.node.MemKB = held * s.node.RunFactor * float64(s.node.Cores) * (11 + 13*r.Float64())
+	s.node.MemKB = held * s.node.RunFactor * float64(s.node.Cores) * (1.5 + 20*r.Float64()) // the run limit binds first or the memory does
 	s.node.KeyKB = s.node.MemKB / 500 * r.Float64()
 	return s
 }
@@ -111,7 +112,7 @@
 	s := randomSite(r)
 	m := &machine{
 		s: s, chance: r, tries: map[uint32]*try{}, table: map[uint32]entry{}, ranAt: map[uint32]float64{}, notice: -1,
-		now: 1e6 * r.Float64(),
+		now: 1e6 * r.Float64(), onCore: r.Float64(),
 	}
 	m.began = m.now
 	m.c = New(s.node, s.fleet, s.below, s.rules, s.methods, s.customers)
@@ -446,7 +447,7 @@
 			break
 		}
 		if m.now >= m.wake {
-			g := Gauges{Stale: m.chance.Intn(5) == 0, CoreUse: m.chance.Float64(), OnCores: float64(m.chance.Intn(30))}
+			g := Gauges{Stale: m.chance.Intn(5) == 0, CoreUse: m.chance.Float64(), OnCores: m.onCore * float64(m.running)}
 			m.give(Event{Kind: Timer, Label: m.label, Gauges: g})
 		}
 		m.ends()
