A share of calls under one holds in every window: each call is given the time that is left of it

Ruled out: abandoned calls (they count for their linger), cold servers (the pause is the same). Change: a call is begun only with the room that the last 5 s (calls_over, now read from the settings) leave, and is given no longer than that. Shares of one and more are kept at every moment as before.

--- a/control/api.go
+++ b/control/api.go
@@ -78,6 +78,7 @@
 type Below struct {
 	Share  float64 // mean number of calls in hand that this node may have
 	Linger float64 // an abandoned call stays in hand this long
+	Over   float64 // the mean is taken over this
 }
 
 // Rules are the figures of the four rules.
--- a/control/control.go
+++ b/control/control.go
@@ -72,7 +72,7 @@
 			ceiling: rules.Ceiling, onCore: 1,
 		},
 		keys:  keys{kb: node.KeyKB},
-		calls: calls{share: below.Share, most: below.Share, linger: below.Linger},
+		calls: calls{share: below.Share, most: below.Share, linger: below.Linger, over: below.Over},
 		tries: tries{
 			marks: fleet.Marks, told: fleet.Idle, most: fleet.Idle,
 			reach: fleet.Heeded / 1000 / float64(fleet.Callers),
@@ -460,12 +460,12 @@
 		c.abort(i)
 		return
 	}
-	if !c.calls.take(c.now) {
-		return
-	}
 	if m.SkipShare > 0 {
 		left *= 0.7 // leaves time to go on without it
 	}
+	if left = c.calls.take(c.now, left); left == 0 {
+		return
+	}
 	r.tries++
 	r.state = calling
 	c.do(Action{Do: Call, RPC: r.id, Time: left})
@@ -824,28 +824,46 @@
 	inHand       int
 	ghosts       []float64 // until when abandoned calls stay there
 	usual, quick float64   // time that a call takes, and when it is not crowded
-	rest         float64   // a share under one call is kept by a pause after each
+	over         float64   // what the share is a mean of
+	times        []span    // of the calls that ended within that, where the share is under one call
 }
 
-// take books a call if there is room for it.
-func (k *calls) take(now float64) bool {
+type span struct{ from, to float64 }
+
+// take books a call if there is room for it, and returns how long it may last, up to left; 0 for no room. A share
+// under one call is kept in the mean: the call ends before any window holds more than that, however slow the
+// dependency becomes meanwhile, which all servers meet at the same time.
+func (k *calls) take(now, left float64) float64 {
+	const worth = 1.5 // times the usual call, below which one is not begun
 	k.ghosts = slices.DeleteFunc(k.ghosts, func(until float64) bool { return until <= now })
-	if k.share > 0 && (float64(k.inHand+len(k.ghosts)) >= math.Max(1, math.Floor(k.most)) || now < k.rest) {
-		return false
+	if k.share > 0 && float64(k.inHand+len(k.ghosts)) >= math.Max(1, math.Floor(k.most)) {
+		return 0
+	}
+	if k.share > 0 && k.share < 1 {
+		k.times = slices.DeleteFunc(k.times, func(s span) bool { return s.to <= now-k.over })
+		room := k.most*k.over - k.linger
+		for _, s := range k.times {
+			room -= s.to - math.Max(s.from, now-k.over)
+		}
+		if room < math.Min(left, math.Max(1, worth*k.usual)) {
+			return 0
+		}
+		left = math.Min(left, room)
 	}
 	k.inHand++
-	return true
+	return left
 }
 
 // done books the end of a call. One that we gave up on stays in hand below for a while.
 func (k *calls) done(now, spent float64, how Outcome) {
 	k.inHand--
+	from := now - spent
 	if how == TimedOut || how == Reset {
-		now, spent = now+k.linger, spent+k.linger
+		now += k.linger
 		k.ghosts = append(k.ghosts, now)
 	}
 	if k.share > 0 && k.share < 1 {
-		k.rest = now + spent*(1/k.share-1)
+		k.times = append(k.times, span{from, now})
 	}
 	// A crowded dependency slows all and stays crowded: callers wait longer, so more calls stand there. Fewer
 	// calls in hand let it recover whatever slowed it; where it is slow for another reason this costs what
@@ -859,7 +877,7 @@
 		k.quick = math.Min(k.usual, 1.001*k.quick)
 	}
 	if k.usual > slow*k.quick || how == TimedOut {
-		k.most = math.Max(1, math.Min(k.most, float64(k.inHand+1))*0.95)
+		k.most = math.Max(math.Min(1, k.share), math.Min(k.most, float64(k.inHand+1))*0.95)
 	} else {
 		k.most = math.Min(k.share, k.most+0.1)
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"math"
+	"math/rand"
 	"reflect"
 	"testing"
 )
@@ -579,32 +581,76 @@
 }
 
 func TestSharedCallsStayWithinTheShare(t *testing.T) {
-	cases := []struct {
-		name  string
-		share float64
-		most  int
-	}{{"whole", 3.7, 3}, {"under one", 0.5, 1}}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			k := calls{share: c.share, most: c.share, linger: 200}
-			n := 0
-			for k.take(0) {
-				n++
+	k := calls{share: 3.7, most: 3.7, linger: 200, over: 5000}
+	n := 0
+	for k.take(0, 1000) > 0 {
+		n++
+	}
+	if n != 3 {
+		t.Errorf("%d calls in hand", n)
+	}
+	k.done(100, 100, TimedOut)
+	if k.take(299, 1000) > 0 {
+		t.Error("an abandoned call no longer counts while it lingers")
+	}
+	for k.inHand > 0 {
+		k.done(300, 1, OK)
+	}
+	if k.take(300, 1000) != 1000 {
+		t.Error("it counts after that")
+	}
+}
+
+// A share under one call holds in the mean of every window, whenever and however much the dependency slows down: calls are as
+// many as may be, and each ends by the time that it was given, or is given up then.
+func TestShareUnderOneCall(t *testing.T) {
+	const over, linger = 5000.0, 200.0
+	for seed := range int64(200) {
+		r := rand.New(rand.NewSource(seed))
+		share := 0.1 + 0.89*r.Float64()
+		k := calls{share: share, most: share, linger: linger, over: over}
+		slowFrom, times := 20000*r.Float64(), 2+20*r.Float64()
+		var busy []span
+		until, began, how := 0.0, 0.0, OK
+		for now := 0.0; now < 40000; now += 5 {
+			if k.inHand > 0 && now >= until {
+				k.done(now, now-began, how)
+				end := now
+				if how != OK {
+					end += linger
+				}
+				busy = append(busy, span{began, end})
 			}
-			if n != c.most {
-				t.Errorf("%d calls in hand", n)
+			if k.inHand == 0 {
+				if left := k.take(now, 200+2000*r.Float64()); left > 0 {
+					took := 40 + 200*r.Float64()
+					if now > slowFrom {
+						took *= times
+					}
+					began, until, how = now, now+5*math.Floor(math.Min(took, left)/5), OK
+					if took > left {
+						how = TimedOut
+					}
+				}
 			}
-			k.done(100, 100, TimedOut)
-			if k.take(299) {
-				t.Error("an abandoned call no longer counts while it lingers")
+			sum := 0.0
+			for _, s := range busy {
+				sum += math.Max(0, math.Min(s.to, now)-math.Max(s.from, now-over))
 			}
-			for k.inHand > 0 {
-				k.done(400, 1, OK)
+			if k.inHand > 0 {
+				sum += now - began
 			}
-			if c.share < 1 && k.take(400) || !k.take(900) {
-				t.Error("the pause after a call is not that of the share")
+			if sum > share*over+1e-6 {
+				t.Fatalf("seed %d: %.0f ms in hand in the %.0f to %.0f, %.0f is the share", seed, sum, over, now, share*over)
 			}
-		})
+		}
+		total := 0.0
+		for _, s := range busy {
+			total += s.to - s.from
+		}
+		if share*over > 2*(linger+400) && total < 0.4*share*40000 {
+			t.Errorf("seed %d: %.2f of the share %.2f is used", seed, total/share/40000, share)
+		}
 	}
 }
 
@@ -613,7 +659,7 @@
 	k := calls{share: 20, most: 20, linger: 200}
 	play := func(n int, spent float64) float64 {
 		for range n {
-			k.take(0)
+			k.take(0, 1000)
 			k.done(0, spent, OK)
 		}
 		return k.most
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -163,6 +163,7 @@
 		Below: control.Below{
 			Share:  l.num("family_info.call_share", 0),
 			Linger: l.ms("family_info.linger", 0),
+			Over:   l.ms("family_info.calls_over", 5e9),
 		},
 		Rules: control.Rules{
 			DrainGrace: l.ms("rules.drain_grace", 0),
