A call below counts until it ends, though its RPC was answered or its caller left

Checked with the calls of one server as the adapter sees them (a trial): up to five open at once where two may be; RPC called at 920325, its caller left at 921313, and its call ended at 924481, by its time-out. Ruled out: time-outs and resets (200 ms of linger, booked), health checks (answered from store), cold servers (none). Change: the call stays booked until CALLED or the RPC's end tells of it. A small test fails with the old code. It does not find the old fault in abort by itself, as its callers leave seldom: the small test does.

--- a/control/control.go
+++ b/control/control.go
@@ -390,11 +390,7 @@
 		if c.node.Stop != StopNone && c.methods[r.method].Repeat == Idempotent {
 			c.do(Action{Do: Halt, RPC: r.id})
 		}
-	case standing, calling:
-		if r.state == calling {
-			c.calls.done(c.now, c.now-r.stood, TimedOut)
-		}
-		r.state = standing // its end is told
+	case standing, calling: // its end is told, and a call goes on below until then
 	default:
 		c.drop(i)
 	}
@@ -484,6 +480,7 @@
 	c.calls.done(c.now, ev.Spent, ev.Outcome)
 	r.state = standing
 	switch {
+	case r.answered: // it ends here
 	case ev.Outcome == OK:
 		c.resume(r)
 	case c.methods[r.method].Repeat != Idempotent && ev.Outcome != Full && ev.Outcome != Unreachable:
@@ -825,6 +822,7 @@
 	ghosts       []float64 // until when abandoned calls stay there
 	usual, quick float64   // time that a call takes, and when it is not crowded
 	over         float64   // what the share is a mean of
+	begun        float64   // the latest call
 	times        []span    // of the calls that ended within that, where the share is under one call
 }
 
@@ -850,20 +848,19 @@
 		}
 		left = math.Min(left, room)
 	}
-	k.inHand++
+	k.inHand, k.begun = k.inHand+1, now
 	return left
 }
 
 // done books the end of a call. One that we gave up on stays in hand below for a while.
 func (k *calls) done(now, spent float64, how Outcome) {
 	k.inHand--
-	from := now - spent
 	if how == TimedOut || how == Reset {
 		now += k.linger
 		k.ghosts = append(k.ghosts, now)
 	}
 	if k.share > 0 && k.share < 1 {
-		k.times = append(k.times, span{from, now})
+		k.times = append(k.times, span{k.begun, now}) // it may be told late
 	}
 	// A crowded dependency slows all and stays crowded: callers wait longer, so more calls stand there. Fewer
 	// calls in hand let it recover whatever slowed it; where it is slow for another reason this costs what
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -821,3 +821,35 @@
 		})
 	}
 }
+
+// An answer, or a caller that leaves, ends no call: it goes on below until its own end, and counts until then.
+func TestCallOutlivesItsRPC(t *testing.T) {
+	s := plain()
+	s.below = Below{Share: 2.2, Linger: 200, Over: 5000}
+	s.node.Cores = 8
+	w := start(t, s)
+	for id := uint32(1); id <= 3; id++ {
+		w.arrive(id, Event{Time: 3000})
+		w.ev(Event{Kind: Wait, RPC: id})
+	}
+	if !w.did(Call, 2) && w.did(Call, 3) {
+		t.Fatalf("calls %+v", w.last)
+	}
+	w.ev(Event{Kind: Left, RPC: 1})
+	w.ev(Event{Kind: Left, RPC: 2})
+	w.now += 1000 // long after what an abandoned call lingers
+	w.ev(Event{Kind: Timer, Label: 0})
+	if w.did(Call, 3) {
+		t.Fatal("a third call while two go on below")
+	}
+	w.ev(Event{Kind: Called, RPC: 1, Outcome: OK, Spent: 1000})
+	if !w.did(Call, 3) {
+		t.Errorf("no call though one has ended: %+v", w.last)
+	}
+	w.ev(Event{Kind: Ended, RPC: 1, Outcome: Cancelled, Spent: 1000})
+	w.ev(Event{Kind: Called, RPC: 2, Outcome: TimedOut, Spent: 1000})
+	w.ev(Event{Kind: Ended, RPC: 2, Outcome: Cancelled, Spent: 1000})
+	if w.c.calls.inHand != 1 || w.c.active != 0 {
+		t.Errorf("%d calls in hand, %d running", w.c.calls.inHand, w.c.active)
+	}
+}
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -19,6 +19,7 @@
 	state        lifeState
 	ran, over    bool // over: answered, or its caller has left
 	since, until float64
+	gives        float64 // when its call is given up
 	calls        int
 	joins        uint32
 }
@@ -63,6 +64,8 @@
 	running  int
 	onCore   float64 // part of these that want a core, as the gauge has it; all may come back from disk at once
 	crowds   []int   // running at each tick
+	below    []span  // calls that have ended, as long as they stay below
+	slow     float64 // times the usual that calls take
 	sum      int     // of these, the last fallTime
 }
 
@@ -88,7 +91,7 @@
 		rules: Rules{DrainGrace: float64(r.Intn(4)) * 1000, Ceiling: 2 + 6*r.Float64(), Settle: float64(r.Intn(2)) * 200},
 	}
 	if r.Intn(3) == 0 {
-		s.below = Below{Share: 0.3 + 8*r.Float64(), Linger: 200}
+		s.below = Below{Share: 0.3 + 8*r.Float64()*r.Float64(), Linger: 200, Over: 5000}
 	}
 	for range 1 + r.Intn(4) {
 		target := 60 * math.Exp(4.5*r.Float64()) // up to some seconds
@@ -112,7 +115,7 @@
 	s := randomSite(r)
 	m := &machine{
 		s: s, chance: r, tries: map[uint32]*try{}, table: map[uint32]entry{}, ranAt: map[uint32]float64{}, notice: -1,
-		now: 1e6 * r.Float64(), onCore: r.Float64(),
+		now: 1e6 * r.Float64(), onCore: r.Float64(), slow: 1,
 	}
 	m.began = m.now
 	m.c = New(s.node, s.fleet, s.below, s.rules, s.methods, s.customers)
@@ -192,7 +195,7 @@
 		m.answer(t, "is aborted")
 		if t.state == isHeld || t.state == isPaused || t.state == isJoined {
 			m.drop(t)
-		} else if t.state == isStanding || t.state == isCalling {
+		} else if t.state == isStanding { // a call goes on until its own end
 			t.until = m.now
 		}
 	case Halt:
@@ -206,7 +209,8 @@
 		if t.state != isStanding {
 			m.breaks("RPC %d calls in state %d", t.id, t.state)
 		}
-		t.state, t.since, t.until = isCalling, m.now, m.now+math.Min(a.Time, 300*m.chance.ExpFloat64())
+		t.state, t.since, t.gives = isCalling, m.now, m.now+a.Time
+		t.until = math.Min(t.gives, m.now+m.slow*60*m.chance.ExpFloat64())
 	case Skip:
 		if t.state != isStanding || meth.SkipShare == 0 {
 			m.breaks("RPC %d goes on without its call in state %d", t.id, t.state)
@@ -270,6 +274,20 @@
 	if len(m.crowds) > n {
 		m.sum -= m.crowds[len(m.crowds)-1-n]
 	}
+	if over := m.s.below.Over; over > 0 {
+		sum := 0.0
+		for _, t := range m.tries {
+			if t.state == isCalling {
+				sum += math.Max(0, math.Min(t.until, m.now)-math.Max(t.since, m.now-over))
+			}
+		}
+		for _, s := range m.below {
+			sum += math.Max(0, math.Min(s.to, m.now)-math.Max(s.from, m.now-over))
+		}
+		if most := m.s.below.Share * over; sum > most+1e-6 {
+			m.breaks("fall-over below: %.2f calls in the mean, %.2f is the share", sum/over, m.s.below.Share)
+		}
+	}
 	speed := 1.0
 	if m.s.node.Cold && m.s.node.WarmBy > 0 {
 		speed = math.Min(1, m.s.node.StartSpeed+(1-m.s.node.StartSpeed)*(m.now-m.began)/m.s.node.WarmBy)
@@ -355,17 +373,27 @@
 				m.give(Event{Kind: Ended, RPC: id, Outcome: Cancelled, Spent: m.now - t.since})
 			}
 		case isCalling:
+			m.below = append(m.below, span{t.since, t.until}) // told late after a stall
+			outcome := [...]Outcome{OK, OK, OK, OK, OK, Error, Full, TimedOut, Unreachable, Reset}[m.chance.Intn(10)]
+			if m.now >= t.gives {
+				outcome = TimedOut
+			}
+			if outcome == TimedOut || outcome == Reset {
+				m.below[len(m.below)-1].to += m.s.below.Linger
+			}
+			spent := t.until - t.since
 			if t.over {
+				t.state, t.until = isStanding, m.now
+				m.give(Event{Kind: Called, RPC: id, Outcome: outcome, Spent: spent})
 				m.drop(t)
 				m.give(Event{Kind: Ended, RPC: id, Outcome: Cancelled, Spent: m.now - t.since})
 				continue
 			}
-			outcome := [...]Outcome{OK, OK, OK, OK, OK, Error, Full, TimedOut, Unreachable, Reset}[m.chance.Intn(10)]
 			t.state, t.until = isStanding, m.now
 			if outcome == OK {
 				t.state, t.until = isRunning, m.now+100*m.chance.Float64()
 			}
-			m.give(Event{Kind: Called, RPC: id, Outcome: outcome, Spent: m.now - t.since})
+			m.give(Event{Kind: Called, RPC: id, Outcome: outcome, Spent: spent})
 		case isJoined:
 			if m.tries[t.joins] == nil {
 				m.answer(t, "ends joined")
@@ -415,7 +443,7 @@
 			t.over = true
 			if t.state == isHeld || t.state == isPaused || t.state == isJoined {
 				m.drop(t)
-			} else if t.state != isRunning {
+			} else if t.state == isStanding {
 				t.until = m.now
 			}
 			m.give(Event{Kind: Left, RPC: id, Outcome: []Outcome{Error, Reset}[m.chance.Intn(2)]})
@@ -446,6 +474,9 @@
 			m.check()
 			break
 		}
+		if m.chance.Intn(1000) == 0 {
+			m.slow = 1 + 10*m.chance.Float64()*float64(m.chance.Intn(2))
+		}
 		if m.now >= m.wake {
 			g := Gauges{Stale: m.chance.Intn(5) == 0, CoreUse: m.chance.Float64(), OnCores: m.onCore * float64(m.running)}
 			m.give(Event{Kind: Timer, Label: m.label, Gauges: g})
