--- a/control/control_test.go
+++ b/control/control_test.go
@@ -837,18 +837,18 @@
 	}
 	w.ev(Event{Kind: Left, RPC: 1})
 	w.ev(Event{Kind: Left, RPC: 2})
-	w.now += 1000 // long after what an abandoned call lingers
+	w.now += 400 // after what an abandoned call lingers
 	w.ev(Event{Kind: Timer, Label: 0})
 	if w.did(Call, 3) {
 		t.Fatal("a third call while two go on below")
 	}
-	w.ev(Event{Kind: Called, RPC: 1, Outcome: OK, Spent: 1000})
+	w.ev(Event{Kind: Called, RPC: 1, Outcome: OK, Spent: 400})
 	if !w.did(Call, 3) {
 		t.Errorf("no call though one has ended: %+v", w.last)
 	}
-	w.ev(Event{Kind: Ended, RPC: 1, Outcome: Cancelled, Spent: 1000})
-	w.ev(Event{Kind: Called, RPC: 2, Outcome: TimedOut, Spent: 1000})
-	w.ev(Event{Kind: Ended, RPC: 2, Outcome: Cancelled, Spent: 1000})
+	w.ev(Event{Kind: Ended, RPC: 1, Outcome: Cancelled, Spent: 400})
+	w.ev(Event{Kind: Called, RPC: 2, Outcome: TimedOut, Spent: 400})
+	w.ev(Event{Kind: Ended, RPC: 2, Outcome: Cancelled, Spent: 400})
 	if w.c.calls.inHand != 1 || w.c.active != 0 {
 		t.Errorf("%d calls in hand, %d running", w.c.calls.inHand, w.c.active)
 	}
