--- a/control/control.go
+++ b/control/control.go
@@ -460,6 +460,10 @@
 		left *= 0.7 // leaves time to go on without it
 	}
 	if left = c.calls.take(c.now, left); left == 0 {
+		if m.SkipShare > 0 { // the room is for those that can't go without; this one would hold a run while it waits
+			c.do(Action{Do: Skip, RPC: r.id})
+			c.resume(r)
+		}
 		return
 	}
 	r.tries++
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -853,3 +853,20 @@
 		t.Errorf("%d calls in hand, %d running", w.c.calls.inHand, w.c.active)
 	}
 }
+
+// Where there is no room below, an RPC that may go without its call does so at once; one that may not waits.
+func TestNoRoomBelow(t *testing.T) {
+	for _, skip := range []float64{0, 0.6} {
+		s := plain()
+		s.below = Below{Share: 1, Linger: 200, Over: 5000}
+		s.methods[0].SkipShare = skip
+		w := start(t, s)
+		w.arrive(1, Event{Time: 3000})
+		w.arrive(2, Event{Time: 3000})
+		w.ev(Event{Kind: Wait, RPC: 1})
+		w.ev(Event{Kind: Wait, RPC: 2})
+		if w.did(Skip, 2) != (skip > 0) || w.did(Call, 2) {
+			t.Errorf("where %g is kept without the call: %+v", skip, w.last)
+		}
+	}
+}
