Connections are kept while half of the cores is idle and nothing is pushed back

The assumption that did not carry over: that an open connection always costs more than the next one; it came from grown fleets at their limit. Change: the idle limit grows to what callers use while the cores are under half busy, the gauge is fresh and under a fiftieth is pushed back.

--- a/control/control.go
+++ b/control/control.go
@@ -503,7 +503,9 @@
 	c.limit.step(c.now, g, c.active)
 	if c.looks++; c.looks%5 == 0 { // twice in the half second that the gauge covers
 		c.pressure.step(g)
-		if c.tries.step(c.limit.unread) {
+		// With cores to spare and nothing pushed back, an open connection costs less than the next one.
+		calm := !g.Stale && g.CoreUse < 0.5 && c.tries.pushed < 0.02
+		if c.tries.step(c.limit.unread, calm) {
 			c.do(Action{Do: IdleAfter, Time: c.tries.idle})
 		}
 		inTime := float64(c.limit.runs()) * (1 + c.tightest/2/c.usual()) // RPCs in hand that can still be ok
@@ -996,7 +998,7 @@
 // leave open fills the table, which slows the cores and shuts others out, so connections are closed soon.
 // In a flood of first tries that fills the cores with reading and opening, the full table is the one way to
 // turn away what costs nothing to read: they are kept longer the longer it lasts.
-func (t *tries) step(unread float64) bool {
+func (t *tries) step(unread float64, calm bool) bool {
 	const (
 		least  = 1000.0 // at a few callers each comes back sooner
 		flood  = 3.0    // first tries for each run that ends: reading them takes half the cores or so
@@ -1006,7 +1008,7 @@
 	)
 	t.firsts, t.ends = 0.9*t.firsts, 0.9*t.ends
 	change := fall
-	if t.firsts > flood*math.Max(1, t.ends) || unread > unseen {
+	if calm || t.firsts > flood*math.Max(1, t.ends) || unread > unseen {
 		change = grow
 	}
 	t.idle = math.Min(t.most, math.Max(least, t.idle*change))
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -347,7 +347,7 @@
 					p.read(true)
 				}
 				p.ends++
-				p.step(c.unread)
+				p.step(c.unread, false)
 			}
 			if p.idle != c.idle || p.everywhere() != c.everywhere {
 				t.Errorf("idle limit %v, pushed back everywhere %v", p.idle, p.everywhere())
@@ -870,3 +870,33 @@
 		}
 	}
 }
+
+// Connections are kept while cores are idle and nothing is pushed back, and closed soon as soon as one of that ends.
+func TestIdleConnectionsInCalm(t *testing.T) {
+	cases := []struct {
+		name   string
+		gauges Gauges
+		pushed float64
+		kept   bool
+	}{
+		{"calm", Gauges{CoreUse: 0.3}, 0, true},
+		{"busy", Gauges{CoreUse: 0.7}, 0, false},
+		{"pushing back", Gauges{CoreUse: 0.3}, 0.1, false},
+		{"unknown", Gauges{CoreUse: 0.3, Stale: true}, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := plain()
+			s.fleet.Idle = 30000
+			w := start(t, s)
+			for range 2000 {
+				w.c.tries.pushed = c.pushed
+				w.now = w.armed
+				w.ev(Event{Kind: Timer, Gauges: c.gauges})
+			}
+			if kept := w.c.tries.idle == 30000; kept != c.kept {
+				t.Errorf("idle limit %v", w.c.tries.idle)
+			}
+		})
+	}
+}
