--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -13,8 +13,8 @@
 	"sorrelvalve/internal/standin"
 )
 
-// settings are those of the README's complete file, whose methods are worked on by pools in these cases.
-const settings = `{
+// Settings are those of the README's complete file, whose methods are worked on by pools in these cases.
+const Settings = `{
   "classes": [
     {"name": "account-view", "aim": 1800000000, "give_up": 4500000000, "idempotency": "read_like", "worth": 1.0, "late_worth": 0.2},
     {"name": "topup-buy", "aim": 1800000000, "give_up": 4500000000, "idempotency": "idempotency_key", "worth": 3.0, "window": 13584000000}
@@ -84,7 +84,7 @@
 }
 
 // NewMember prepares a server: its addresses, its engine and its configuration. It is started with Start.
-func (c *Case) NewMember(name string, membership string) *Member {
+func (c *Case) NewMember(name, membership, settings string) *Member {
 	cores := standin.NewCores(6, 8)
 	engine, err := standin.NewEngine(cores, standin.WorkByMethod(map[string]float64{"account-view": 5, "topup-buy": 5}, 1), nil)
 	c.Check(err)
