--- a/review/rig/app.go
+++ b/review/rig/app.go
@@ -112,17 +112,13 @@
 	a.running[label] = true
 	a.most = max(a.most, len(a.running))
 	a.mu.Unlock()
-	if ms >= 1000 {
-		a.c.Log("%s: run of %s began", a.Name, label)
-	}
+	a.c.Note("%s: run of %s began", a.Name, label)
 	time.Sleep(time.Duration(ms) * time.Millisecond)
 	a.mu.Lock()
 	delete(a.running, label)
 	a.mu.Unlock()
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(label), label)
-	if ms >= 1000 {
-		a.c.Log("%s: run of %s ended, answer written: %t", a.Name, label, err == nil)
-	}
+	a.c.Note("%s: run of %s ended, answer written: %t", a.Name, label, err == nil)
 }
 
 // readRequest reads a request and returns its body. It answers pings.
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -139,10 +139,13 @@
 }
 
 // Log writes a line to the record and to standard output, with the time since the start in seconds.
-func (c *Case) Log(format string, a ...any) {
-	line := fmt.Sprintf("%7.3f %s\n", time.Since(c.began).Seconds(), fmt.Sprintf(format, a...))
-	fmt.Print(line)
+func (c *Case) Log(format string, a ...any) { fmt.Print(c.Note(format, a...)) }
+
+// Note writes a line to the record only, and returns it.
+func (c *Case) Note(format string, a ...any) (line string) {
+	line = fmt.Sprintf("%7.3f %s\n", time.Since(c.began).Seconds(), fmt.Sprintf(format, a...))
 	c.write(line)
+	return line
 }
 
 func (c *Case) write(text string) {
