Review 2: longer calls in case 7, so that a slower machine sees the same

Cause: the case had half a second between the end of the drain and the end of the calls from before the reload. Callers wait for the give-up of the settings.

--- a/review/kit2/earlydone.go
+++ b/review/kit2/earlydone.go
@@ -5,12 +5,10 @@
 	"time"
 )
 
-// slowCall is the length of a call: within the latency objective of 1.8 s.
-const slowCall = 1500 * time.Millisecond
-
 // earlyDone: a member of a pool is to be scrapped. An operator takes it out of the server's file, by a SIGHUP, and drains it by permit;
 // once permits says that the drain is done, the member is stopped. No call may then be in hand there.
 func earlyDone(s *stage) error {
+	s.useSlowSettings()
 	group := &appGroup{work: slowCall}
 	m1Group := &appGroup{work: slowCall}
 	m1, err := s.startApp(m1Group, "m1")
@@ -41,7 +39,7 @@
 	if err := n0.start(); err != nil {
 		return err
 	}
-	l := n0.startLoad(keyedMethod, 20)
+	l := n0.startLoad(keyedMethod, 12)
 	time.Sleep(8 * time.Second)
 	if s.trouble {
 		if err := n0.compile("version: \"2\"\n" + fleet + poolPart(keyedMethod, "pages", m2, m3)); err != nil {
@@ -68,8 +66,8 @@
 	s.note("the drain of m1 is done, with %d calls in hand there", inHand)
 	failed := l.failed.Load()
 	m1.stop()
-	time.Sleep(2 * time.Second)
-	s.note("RPCs that were not ok within 2 s of the stop of m1: %d", l.failed.Load()-failed)
+	time.Sleep(3 * time.Second)
+	s.note("RPCs that were not ok within 3 s of the stop of m1: %d", l.failed.Load()-failed)
 	l.stop()
 	s.note("%d RPCs sent, %d ok", l.sent.Load(), l.ok.Load())
 	switch {
--- a/review/kit2/server.go
+++ b/review/kit2/server.go
@@ -22,7 +22,7 @@
 "tick":4000000}`
 
 const (
-	deadline    = 4500 * time.Millisecond // give_up of the settings
+	deadline    = 4500 * time.Millisecond // give_up of portalSettings
 	keyedMethod = "topup-buy"
 )
 
@@ -164,7 +164,7 @@
 // call makes one RPC and notes its answer.
 func (v *server) call(l *load, method string) {
 	id := lastRPC.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), v.stage.patience)
 	defer cancel()
 	l.sent.Add(1)
 	v.stage.note("sent #%d %s to %s", id, method, v.name)
