--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -1,4 +1,4 @@
-// Command review-2 plays the cases 6 and 7 of the review: it starts the project's programs as processes of their own, plays the
+// Command review-2 plays the cases 6 to 8 of the review: it starts the project's programs as processes of their own, plays the
 // stand-ins around them, and judges what clients, application servers and operators saw. See review/REPORT-2.md.
 package main
 
@@ -26,8 +26,9 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(*stage) error{
-	"new-bound":   newBound,
-	"old-release": oldRelease,
+	"new-bound":    newBound,
+	"old-release":  oldRelease,
+	"halted-begin": haltedBegin,
 }
 
 func main() { os.Exit(run()) }
