--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the scripts of the cases 6 to 8 start beside the project's programs: one program with all their stand-ins.
+# Builds what the scripts of the cases 6 to 9 start beside the project's programs: one program with all their stand-ins.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -1,4 +1,4 @@
-// Command review-2 plays the cases 6 to 8 of the review: it starts the project's programs as processes of their own, plays the
+// Command review-2 plays the cases 6 to 9 of the review: it starts the project's programs as processes of their own, plays the
 // stand-ins around them, and judges what clients, application servers and operators saw. See review/REPORT-2.md.
 package main
 
@@ -28,6 +28,7 @@
 var cases = map[string]func(*stage) error{
 	"new-bound":    newBound,
 	"old-release":  oldRelease,
+	"last-member":  lastMember,
 	"halted-begin": haltedBegin,
 }
 
