Review 2, case 10: a program that a release took back is started after a kill

Cause: changeProgram writes FOLDER/program before the drain begins, and neither a drain that is taken back nor the release's return writes the former name again.

--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -1,4 +1,4 @@
-// Command review-2 plays the cases 6 to 9 of the review: it starts the project's programs as processes of their own, plays the
+// Command review-2 plays the cases 6 to 10 of the review: it starts the project's programs as processes of their own, plays the
 // stand-ins around them, and judges what clients, application servers and operators saw. See review/REPORT-2.md.
 package main
 
@@ -30,6 +30,7 @@
 	"old-release":  oldRelease,
 	"last-member":  lastMember,
 	"halted-begin": haltedBegin,
+	"old-program":  oldProgram,
 }
 
 func main() { os.Exit(run()) }
