--- a/review/kit2/server.go
+++ b/review/kit2/server.go
@@ -34,6 +34,7 @@
 	gossip  string
 	socket  string
 	folder  string // that keeps the released version; "" for none
+	program string // of bin/
 	engine  *standin.Engine
 	process *process
 	router  *standin.Router
@@ -41,7 +42,7 @@
 
 // newServer starts the engine and the membership service of a server, and writes its configuration.
 func (s *stage) newServer(name string) (*server, error) {
-	v := &server{stage: s, name: name, socket: s.path(name + ".sock")}
+	v := &server{stage: s, name: name, program: "valvefleet", socket: s.path(name + ".sock")}
 	cores := standin.NewCores(6, 8)
 	s.onClose(cores.Close)
 	engine, err := standin.NewEngine(cores, standin.WorkFromBody, nil)
@@ -50,16 +51,20 @@
 	}
 	s.onClose(engine.Close)
 	v.engine = engine
-	members, stop, err := standin.StartMembershipService()
-	if err != nil {
-		return nil, err
+	members := s.members
+	if members == "" {
+		addr, stop, err := standin.StartMembershipService()
+		if err != nil {
+			return nil, err
+		}
+		s.onClose(stop)
+		members = addr
 	}
-	s.onClose(stop)
 	if err := s.freeAddresses(&v.listen, &v.gossip); err != nil {
 		return nil, err
 	}
 	config := fmt.Sprintf(`{"name":%q,"listen":%q,"engine":%q,"members":%q,"seed":"8c1f30d27a5be964","stop_ms":3200,`+
-		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"settings":%s}`, name, v.listen, engine.Addr(), members, s.settings)
+		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"settings":%s}`, name, v.listen, engine.Addr(), members, portalSettings)
 	if err := s.write(name+".json", config); err != nil {
 		return nil, err
 	}
@@ -98,7 +103,7 @@
 		attached = v.process.logged("engine.attached")
 	}
 	env := []string{"EDGE_CONFIG=" + v.stage.path(v.name+".json")}
-	v.process, err = v.stage.start(v.name, env, "valvefleet", "serve", "--operator", v.stage.path(v.name+".record"))
+	v.process, err = v.stage.start(v.name, env, v.program, "serve", "--operator", v.stage.path(v.name+".record"))
 	if err != nil {
 		return err
 	}
@@ -164,7 +169,7 @@
 // call makes one RPC and notes its answer.
 func (v *server) call(l *load, method string) {
 	id := lastRPC.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), v.stage.patience)
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	l.sent.Add(1)
 	v.stage.note("sent #%d %s to %s", id, method, v.name)
--- a/review/kit2/stage.go
+++ b/review/kit2/stage.go
@@ -23,12 +23,11 @@
 
 // stage is the surroundings of one case: a temporary folder, the processes that the case started, and its record.
 type stage struct {
-	trouble  bool
-	dir      string
-	host     string // a loopback address of this run's own: clients that call from 127.0.0.1 take ports there at any time
-	began    time.Time
-	settings string        // of the servers' configurations
-	patience time.Duration // of callers: the longest give_up of the settings
+	trouble bool
+	dir     string
+	host    string // a loopback address of this run's own: clients that call from 127.0.0.1 take ports there at any time
+	began   time.Time
+	members string // address of the membership service; "" for one of each server's own
 
 	mu        sync.Mutex
 	file      *os.File
@@ -48,7 +47,7 @@
 		return nil, err
 	}
 	host := fmt.Sprintf("127.%d.%d.%d", 2+rand.Intn(250), rand.Intn(256), 1+rand.Intn(250))
-	s := &stage{host: host, trouble: os.Getenv("TROUBLE") != "0", dir: dir, began: time.Now(), settings: portalSettings, patience: deadline, file: file, record: bufio.NewWriter(file)}
+	s := &stage{host: host, trouble: os.Getenv("TROUBLE") != "0", dir: dir, began: time.Now(), file: file, record: bufio.NewWriter(file)}
 	s.note("seconds since %s; disruption: %v", s.began.UTC().Format(time.RFC3339), s.trouble)
 	return s, nil
 }
