--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -28,9 +28,9 @@
 var cases = map[string]func(*stage) error{
 	"new-bound":    newBound,
 	"old-release":  oldRelease,
+	"overtaken":    overtaken,
 	"last-member":  lastMember,
 	"halted-begin": haltedBegin,
-	"old-program":  oldProgram,
 }
 
 func main() { os.Exit(run()) }
--- a/review/kit2/server.go
+++ b/review/kit2/server.go
@@ -28,16 +28,18 @@
 
 // server is one server of the fleet with its engine.
 type server struct {
-	stage   *stage
-	name    string
-	listen  string
-	gossip  string
-	socket  string
-	folder  string // that keeps the released version; "" for none
-	program string // of bin/
-	engine  *standin.Engine
-	process *process
-	router  *standin.Router
+	stage     *stage
+	name      string
+	listen    string
+	gossip    string
+	socket    string
+	folder    string                                    // that keeps the released version; "" for none
+	program   string                                    // of bin/
+	advertise string                                    // where peers reach it, if not at gossip
+	noteCall  func(sent time.Time, reply standin.Reply) // of each RPC; nil for none
+	engine    *standin.Engine
+	process   *process
+	router    *standin.Router
 }
 
 // newServer starts the engine and the membership service of a server, and writes its configuration.
@@ -79,6 +81,9 @@
 	if keepers != "" {
 		text += fmt.Sprintf(", keepers: [%s]", keepers)
 	}
+	if v.advertise != "" {
+		text += fmt.Sprintf(", advertise: %q", v.advertise)
+	}
 	if v.folder != "" {
 		text += fmt.Sprintf(", folder: %q", v.folder)
 	}
@@ -179,7 +184,11 @@
 	} else {
 		call.Subject = uint64(id)
 	}
+	sent := time.Now()
 	reply := v.router.Call(ctx, call)
+	if v.noteCall != nil {
+		v.noteCall(sent, reply)
+	}
 	v.stage.note("answered #%d: %s %s", id, reply.Outcome, reply.Reason)
 	if reply.Outcome == standin.OK {
 		l.ok.Add(1)
